--- /dev/null
+++ b/cmd/corkcove/core.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	mrand "math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/desk"
+	"corkcove/internal/exchange"
+	"corkcove/internal/numbering"
+	"corkcove/internal/options"
+	"corkcove/internal/supervisor"
+	"corkcove/internal/tollbook"
+	"corkcove/internal/trunk"
+)
+
+const (
+	shards    = 13
+	viewBlob  = "view"
+	usersBlob = "users"
+	tick      = 50 * time.Millisecond
+	holdFor   = 900 * time.Millisecond
+	beatEach  = 250 * time.Millisecond
+)
+
+func newID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+func members(o options.Options) []*trunk.Member {
+	var out []*trunk.Member
+	for _, s := range o.Network.Seeds {
+		if a, err := netip.ParseAddrPort(s); err == nil {
+			out = append(out, &trunk.Member{Addr: a.Addr().String() + ":" + strconv.Itoa(o.Network.InnerPorts[0]), Control: s})
+		}
+	}
+	return out
+}
+
+type coreNode struct {
+	*process
+	loop   *exchange.Loop
+	board  *exchange.Board
+	svc    *numbering.Service
+	master *supervisor.Master
+	conf   uint64
+}
+
+func (c *coreNode) SaveView(ctx context.Context, stamp uint64) error {
+	_, err := numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, bool) {
+		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: stamp}}, true
+	})
+	return err
+}
+
+func users(t exchange.Table) map[string]string {
+	u := &trunk.UserStates{}
+	if b := t.Blob(usersBlob); b != nil {
+		proto.Unmarshal(b.Data, u)
+	}
+	if u.States == nil {
+		u.States = map[string]string{}
+	}
+	return u.States
+}
+
+func config(t exchange.Table) (uint64, []byte) {
+	if b := t.Blob(desk.ConfigBlob); b != nil {
+		c := &trunk.Config{}
+		if proto.Unmarshal(b.Data, c) == nil {
+			return c.Stamp, c.Doc
+		}
+	}
+	return 0, nil
+}
+
+func (c *coreNode) onOwner(i int, own bool, epoch uint64) {
+	if !own {
+		c.svc.Moved(i)
+	}
+	if i != 0 {
+		return
+	}
+	if !own {
+		c.master.Loop.Put(c.master.Step)
+		return
+	}
+	t := c.board.Table(0)
+	st, doc := config(t)
+	c.conf = st
+	u, r := users(t), c.board.Roll()
+	vs := t.Blob(viewBlob).GetStamp()
+	c.master.Loop.Put(func() { c.master.Lead(epoch, vs, u, st, doc, r) })
+}
+
+func (c *coreNode) onCommit(i int) {
+	c.svc.Committed(i)
+	if i != 0 || !c.board.Clean(0) {
+		return
+	}
+	t := c.board.Table(0)
+	if b := t.Blob(desk.ConfigBlob); b != nil && b.Stamp > c.conf {
+		st, doc := config(t)
+		c.conf = st
+		c.master.Loop.Put(func() { c.master.SetConfig(st, doc) })
+	}
+}
+
+func (c *coreNode) masterAddr() string {
+	a, _ := exchange.Ask(c.loop, func() string {
+		if m, ok := c.board.Owner(0); ok {
+			return m.Addr
+		}
+		return ""
+	})
+	return a
+}
+
+func (c *coreNode) Hello(_ context.Context, q *trunk.HelloReq) (*trunk.HelloResp, error) {
+	is, _ := exchange.Ask(c.master.Loop, func() bool { return c.master.Hello(q.Node) })
+	r := &trunk.HelloResp{Master: is}
+	r.Roll, _ = exchange.Ask(c.loop, func() *trunk.Roll { return c.board.Roll() })
+	if !is {
+		r.MasterAddr = c.masterAddr()
+	}
+	return r, nil
+}
+
+func (c *coreNode) Fetch(ctx context.Context, q *trunk.FetchReq) (*trunk.FetchResp, error) {
+	type got struct {
+		stamp uint64
+		doc   []byte
+		epoch uint64
+	}
+	g, err := numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, got) {
+		st, doc := config(t)
+		return nil, got{st, doc, c.board.Epoch(0)}
+	})
+	if err != nil {
+		return &trunk.FetchResp{MasterAddr: c.masterAddr()}, nil
+	}
+	r := &trunk.FetchResp{Master: true, Epoch: g.epoch, Stamp: g.stamp}
+	if g.stamp > q.Have {
+		r.Data = g.doc
+	}
+	r.View, _ = exchange.Ask(c.master.Loop, func() *trunk.View {
+		if v := c.master.View(); c.master.Leading() && v.Stamp > 0 {
+			return v
+		}
+		return nil
+	})
+	return r, nil
+}
+
+// A core node answers the node calls only to keep the last published view.
+func (c *coreNode) Poll(context.Context, *trunk.PollReq) (*trunk.PollResp, error) {
+	return &trunk.PollResp{Stale: true}, nil
+}
+
+func (c *coreNode) Publish(_ context.Context, q *trunk.ViewReq) (*trunk.ViewResp, error) {
+	ok, _ := exchange.Ask(c.master.Loop, func() bool { return c.master.Saw(q.View) })
+	return &trunk.ViewResp{Ok: ok}, nil
+}
+
+func (c *coreNode) Deliver(context.Context, *trunk.DeliverReq) (*trunk.DeliverResp, error) {
+	return &trunk.DeliverResp{}, nil
+}
+
+func runCore(p *process) error {
+	o := p.o
+	dk, err := tollbook.Folder(o.Self.DataDir)
+	if err != nil {
+		return err
+	}
+	book, recs, err := tollbook.Open(dk)
+	if err != nil {
+		return err
+	}
+	inner, err := net.Listen("tcp", o.InnerAddr())
+	if err != nil {
+		return err
+	}
+	ctl, err := net.Listen("tcp", o.Network.Listen.Control)
+	if err != nil {
+		return err
+	}
+	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 8)})
+	loop := exchange.NewLoop()
+	c := &coreNode{process: p, loop: loop, svc: numbering.NewService(loop, shards)}
+	c.master = supervisor.NewMaster(supervisor.Options{
+		Interval: 400 * time.Millisecond, Settle: 100 * time.Millisecond, Transition: time.Second, Linger: 2 * time.Second,
+		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
+		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"),
+	}, exchange.NewLoop(), lines, c)
+	hist := options.Secs(o.Terms.Bounds.HistoryS)
+	c.board, err = exchange.New(exchange.Options{
+		Me:    &trunk.Member{Addr: o.InnerAddr(), Control: o.Network.Listen.Control, Site: o.Self.SiteName},
+		Seeds: members(o), First: o.Self.FirstStart, Shards: shards,
+		Hold: holdFor, Beat: beatEach, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 4 << 20,
+		NewTable: func() exchange.Table { return numbering.NewTable(hist) },
+		NewID:    newID, Now: p.now, Rand: mrand.IntN, Note: p.note("exchange"),
+		OnOwner:  c.onOwner, OnCommit: c.onCommit,
+		OnRoll: func(r *trunk.Roll) { c.master.Loop.Put(func() { c.master.SetRoll(r) }) },
+	}, exchange.Net{Loop: loop, Lines: lines, Short: 600 * time.Millisecond, Long: 1500 * time.Millisecond}, exchange.Shelf{Loop: loop, Book: book}, recs)
+	if err != nil {
+		return err
+	}
+	c.svc.Board = c.board
+	p.note("core")("starts as %s, first start %v, %d records", c.board.Me().Id, o.Self.FirstStart, len(recs))
+
+	door := exchange.Door{Loop: loop, Board: c.board}
+	mux := http.NewServeMux()
+	mux.Handle(trunk.ExchangePathPrefix, trunk.NewExchangeServer(door))
+	mux.Handle(trunk.ControlPathPrefix, trunk.NewControlServer(c))
+	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(c))
+	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
+	go is.Serve(inner)
+	cs := &http.Server{Handler: desk.NewCore(c.svc, 650*time.Millisecond), IdleTimeout: time.Minute, ReadHeaderTimeout: 5 * time.Second}
+	go cs.Serve(ctl)
+	go c.master.Loop.Run(tick, c.master.Tick)
+	go loop.Run(tick, c.board.Tick)
+
+	sig := make(chan os.Signal, 4)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range sig {
+		if s == syscall.SIGHUP {
+			p.reload()
+			continue
+		}
+		break
+	}
+	p.note("core")("stops")
+	loop.Put(c.board.Leave)
+	end := time.Now().Add(min(options.Secs(o.Terms.Bounds.GraceS)*6/10, 3*time.Second))
+	for time.Now().Before(end) {
+		if idle, _ := exchange.Ask(loop, c.board.Idle); idle {
+			break
+		}
+		time.Sleep(tick)
+	}
+	cs.SetKeepAlivesEnabled(false)
+	ctx, stop := context.WithTimeout(context.Background(), 700*time.Millisecond)
+	defer stop()
+	cs.Shutdown(ctx)
+	loop.Close()
+	book.Close()
+	return nil
+}
--- /dev/null
+++ b/cmd/corkcove/main.go
@@ -0,0 +1,111 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"k8s.io/klog/v2"
+
+	"corkcove/internal/dialplan"
+	"corkcove/internal/options"
+	"corkcove/internal/ringlog"
+)
+
+var version = "0.1.0"
+
+func main() {
+	app := kingpin.New("corkcove", "A service mesh: sidecars carry the traffic, core nodes keep the control state.")
+	app.HelpFlag.Short('h')
+	file := app.Flag("settings", "Settings file; default: the file named in "+options.EnvName+".").String()
+	chatty := app.Flag("chatty", "Write each log line out as it comes, not only on trouble.").Bool()
+	side := app.Command("sidecar", "Carry the traffic of the endpoint on this machine.")
+	core := app.Command("core", "Keep nodes, endpoints, configuration, locks, numbers and keys.")
+	check := app.Command("check", "Check a settings file, or with --config a configuration; exit code 1 if it is wrong.")
+	checkRole := check.Flag("role", "Role whose settings are checked.").Default("sidecar").Enum("sidecar", "core")
+	checkConf := check.Flag("config", "The file is an operator's configuration.").Bool()
+	checkFile := check.Arg("file", "The file.").Required().String()
+	ver := app.Command("version", "Print the version.")
+
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case side.FullCommand():
+		run("sidecar", *file, *chatty, runSidecar)
+	case core.FullCommand():
+		run("core", *file, *chatty, runCore)
+	case check.FullCommand():
+		if err := checkOne(*checkFile, *checkRole, *checkConf); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		fmt.Println("ok")
+	case ver.FullCommand():
+		fmt.Println("corkcove", version, runtime.Version())
+	}
+}
+
+func checkOne(file, role string, conf bool) error {
+	if !conf {
+		_, err := options.Load(file, role)
+		return err
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	_, err = dialplan.Read(b)
+	return err
+}
+
+type process struct {
+	path string
+	role string
+	o    options.Options
+	ring *ringlog.Ring
+	t0   time.Time
+}
+
+func (p *process) now() time.Duration { return time.Since(p.t0) }
+
+func (p *process) note(area string) func(string, ...any) {
+	return func(f string, a ...any) { p.ring.Note(area, f, a...) }
+}
+
+// reload takes the settings file again; a bad one leaves the old in force.
+func (p *process) reload() {
+	o, err := options.Load(p.path, p.role)
+	if err != nil {
+		p.ring.Note("options", "kept the old settings: %v", err)
+		p.ring.Spill("settings not taken")
+		return
+	}
+	p.o.Network.Seeds = o.Network.Seeds
+	p.ring.Note("options", "settings taken again")
+}
+
+func run(role, file string, chatty bool, f func(*process) error) {
+	runtime.GOMAXPROCS(1)
+	if file == "" {
+		file = options.Path()
+	}
+	o, err := options.Load(file, role)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "corkcove "+role+": "+err.Error())
+		os.Exit(1)
+	}
+	if m := o.Self.LimitSet.MemoryMB; m > 0 {
+		debug.SetMemoryLimit(m << 20 * 6 / 10)
+	}
+	log.SetOutput(io.Discard)
+	klog.LogToStderr(true)
+	p := &process{path: file, role: role, o: o, ring: ringlog.New(256, 5*time.Second, chatty), t0: time.Now()}
+	if err := f(p); err != nil {
+		p.ring.Spill("corkcove " + role + " ends: " + err.Error())
+		fmt.Fprintln(os.Stderr, "corkcove "+role+": "+err.Error())
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/corkcove/sidecar.go
@@ -0,0 +1,196 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"corkcove/internal/desk"
+	"corkcove/internal/dialplan"
+	"corkcove/internal/options"
+	"corkcove/internal/subscriber"
+	"corkcove/internal/supervisor"
+	"corkcove/internal/switchboard"
+	"corkcove/internal/trunk"
+)
+
+// front passes new streams to the server made for the limits in force; streams
+// that are open keep theirs.
+type front struct {
+	l   net.Listener
+	h   http.Handler
+	mu  sync.Mutex
+	cur *feed
+	all []*http.Server
+	lim dialplan.Limits
+}
+
+type feed struct {
+	ch  chan net.Conn
+	end chan struct{}
+	a   net.Addr
+}
+
+func (f *feed) Accept() (net.Conn, error) {
+	select {
+	case c := <-f.ch:
+		return c, nil
+	case <-f.end:
+		return nil, net.ErrClosed
+	}
+}
+func (f *feed) Close() error   { return nil }
+func (f *feed) Addr() net.Addr { return f.a }
+
+func newFront(l net.Listener, h http.Handler) *front {
+	f := &front{l: l, h: h}
+	f.limit(dialplan.DefaultLimits())
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			f.mu.Lock()
+			d := f.cur
+			f.mu.Unlock()
+			d.ch <- c
+		}
+	}()
+	return f
+}
+
+func (f *front) limit(l dialplan.Limits) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cur != nil && l == f.lim {
+		return
+	}
+	f.lim = l
+	f.cur = &feed{ch: make(chan net.Conn), end: make(chan struct{}), a: f.l.Addr()}
+	s := &http.Server{Handler: f.h, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.Header, IdleTimeout: l.Idle}
+	f.all = append(f.all, s)
+	go s.Serve(f.cur)
+}
+
+func (f *front) quiet() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.all {
+		s.SetKeepAlivesEnabled(false)
+	}
+}
+
+func runSidecar(p *process) error {
+	o := p.o
+	var ls [5]net.Listener
+	for i, a := range []string{o.InnerAddr(), o.Network.Listen.Inbound, o.Network.Listen.Outbound, o.Network.Listen.Ready, o.Network.Listen.Control} {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return err
+		}
+		ls[i] = l
+	}
+	bd := o.Terms.Bounds
+	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
+	pools := switchboard.NewPools(o.Self.SiteName, 1.3)
+	var plan atomic.Pointer[dialplan.Table]
+	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 3 * time.Second,
+		Now: p.now, Note: p.note("supervisor")}
+	ag.OnView = pools.Set
+	ag.Start(&trunk.NodeState{Name: o.Self.NodeName, Life: ag.Life, Addr: o.InnerAddr(), Inbound: o.Network.Listen.Inbound,
+		Site: o.Self.SiteName, Service: o.Self.ServiceName, State: "up"})
+	sub := subscriber.New(subscriber.Options{Service: o.Self.ServiceName, Beat: options.Secs(o.Platform.BeatS), Missed: 3, Queue: 1,
+		Note: p.note("subscriber"), Changed: func(l subscriber.Life) {
+			ag.Set(func(n *trunk.NodeState) {
+				n.Endpoint = &trunk.Endpoint{Id: l.ID, Service: o.Self.ServiceName, Addr: o.Self.AppAddr, Site: o.Self.SiteName,
+					Slots: uint32(l.Slots), State: l.State, ColdMs: uint64(l.Cold / time.Millisecond), Release: l.Release, Sound: l.Sound}
+			})
+		}})
+
+	app := trunk.Transport(300*time.Millisecond, 0, 4*time.Second, 64)
+	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: o.Self.AppAddr, Desk: sub, Line: app, Note: p.note("inbound"),
+		Suspect: func() {}, Peek: 64 << 10})
+	between := trunk.Transport(250*time.Millisecond, 1500*time.Millisecond, 30*time.Second, 64)
+	between.ExpectContinueTimeout = time.Second
+	budget := switchboard.NewBudget(bd.RetryRatio/2, max(bd.RetrySlack/2/16, 1))
+	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
+		Budget: budget, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+	fr := newFront(ls[2], out)
+	ag.OnConfig = func(stamp uint64, data []byte) error {
+		d, err := dialplan.Read(data)
+		if err != nil {
+			return err
+		}
+		t := dialplan.Compile(d)
+		plan.Store(t)
+		fr.limit(t.Limits)
+		return nil
+	}
+
+	var leaving atomic.Bool
+	mux := http.NewServeMux()
+	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(ag))
+	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
+	go is.Serve(ls[0])
+	ins := &http.Server{Handler: in, IdleTimeout: 2 * time.Minute}
+	go ins.Serve(ls[1])
+	rd := &http.Server{IdleTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/-/readiness" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if leaving.Load() || !ag.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})}
+	go rd.Serve(ls[3])
+	bs := &http.Server{Handler: desk.NewBeats(sub), IdleTimeout: time.Minute}
+	go bs.Serve(ls[4])
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go ag.Run(ctx, 250*time.Millisecond)
+	go func() {
+		t := time.NewTicker(250 * time.Millisecond)
+		defer t.Stop()
+		for range t.C {
+			sub.Tick()
+		}
+	}()
+
+	sig := make(chan os.Signal, 4)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range sig {
+		if s == syscall.SIGHUP {
+			p.reload()
+			continue
+		}
+		break
+	}
+	t0 := time.Now()
+	leaving.Store(true)
+	sub.Stop()
+	ag.Set(func(n *trunk.NodeState) { n.State = "stopping" })
+	in.Leave()
+	out.Leave()
+	fr.quiet()
+	ins.SetKeepAlivesEnabled(false)
+	grace := options.Secs(bd.GraceS)
+	linger := min(grace/2, 2500*time.Millisecond)
+	for {
+		e := time.Since(t0)
+		if e > grace-200*time.Millisecond || e > linger && in.Running.Load() == 0 && out.Running.Load() == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/desk/beats.go
@@ -0,0 +1,48 @@
+package desk
+
+import (
+	"time"
+
+	"corkcove/internal/subscriber"
+)
+
+// Beats is the interface for the endpoint beside a node.
+type Beats struct {
+	Table
+	sub *subscriber.Desk
+}
+
+type beatReq struct {
+	ServiceName string  `json:"serviceName"`
+	Address     string  `json:"address"`
+	SiteName    string  `json:"siteName"`
+	Stamp       string  `json:"stamp"`
+	SlotCount   int     `json:"slotCount"`
+	State       string  `json:"state"`
+	ColdLeftS   float64 `json:"coldLeftS"`
+	CallSeq     uint64  `json:"callSeq"`
+}
+
+func NewBeats(s *subscriber.Desk) *Beats {
+	b := &Beats{sub: s}
+	b.add("PUT /-/endpoints/{}", handle(b.beat))
+	b.add("DELETE /-/endpoints/{}", handle(b.leave))
+	return b
+}
+
+func (b *Beats) beat(c call, q beatReq) verdict {
+	if q.State != "ready" && q.State != "draining" {
+		return verdict{out: malformed, why: "state is neither ready nor draining"}
+	}
+	if q.SlotCount < 1 {
+		return verdict{out: malformed, why: "slotCount must be 1 at least"}
+	}
+	b.sub.Beat(subscriber.Beat{ID: c.id, Service: q.ServiceName, Addr: q.Address, Site: q.SiteName, Release: q.Stamp,
+		Slots: q.SlotCount, State: q.State, Cold: time.Duration(q.ColdLeftS * float64(time.Second)), Seq: q.CallSeq})
+	return verdict{body: none{}}
+}
+
+func (b *Beats) leave(c call, _ none) verdict {
+	b.sub.Leave(c.id)
+	return verdict{body: none{}}
+}
--- /dev/null
+++ b/internal/desk/core.go
@@ -0,0 +1,376 @@
+package desk
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/dialplan"
+	"corkcove/internal/exchange"
+	"corkcove/internal/numbering"
+	"corkcove/internal/trunk"
+)
+
+const (
+	ConfigBlob = "configuration"
+	maxConfig  = 32 << 20
+	keepTaken  = 256
+)
+
+type Core struct {
+	Table
+	Svc     *numbering.Service
+	Patient time.Duration
+	Step    time.Duration
+	Trace   func(step string, epoch, stamp uint64, detail string)
+}
+
+type lockReq struct {
+	HolderID string   `json:"holderId"`
+	HoldS    *float64 `json:"holdS"`
+	FenceNo  uint64   `json:"fenceNo"`
+}
+
+type lockResp struct {
+	FenceNo uint64 `json:"fenceNo"`
+}
+
+type none struct{}
+
+type numberResp struct {
+	Payload uint64 `json:"payload"`
+}
+
+type cellReq struct {
+	Payload *string `json:"payload"`
+	Topic   *uint64 `json:"topic"`
+}
+
+type cellResp struct {
+	Revision uint64 `json:"revision"`
+}
+
+type readResp struct {
+	Payload  string `json:"payload"`
+	Revision uint64 `json:"revision"`
+}
+
+type event struct {
+	Name     string `json:"name"`
+	Payload  string `json:"payload"`
+	Revision uint64 `json:"revision"`
+}
+
+type watchResp struct {
+	EventList []event `json:"eventList"`
+	Revision  uint64  `json:"revision"`
+}
+
+func NewCore(s *numbering.Service, patient time.Duration) *Core {
+	c := &Core{Svc: s, Patient: patient, Step: 20 * time.Millisecond}
+	c.add("POST /-/locks/{}", handle(c.take))
+	c.add("PUT /-/locks/{}", handle(c.renew))
+	c.add("DELETE /-/locks/{}", handle(c.drop))
+	c.add("POST /-/numbers/{}", handle(c.number))
+	c.add("PUT /-/cells/{}", handle(c.put))
+	c.add("GET /-/cells/{}", handle(c.get))
+	c.add("GET /-/watch/{}", handle(c.watch))
+	c.add("GET /-/configuration", handle(c.config))
+	c.add("PUT /-/configuration", c.putConfig)
+	c.add("PATCH /-/configuration", c.patchConfig)
+	return c
+}
+
+// at runs f until the shard's owner has answered, here or by redirect, for as
+// long as nothing was done.
+func at[R any](d *Core, c call, shard int, f func(context.Context) (R, error)) (R, verdict, bool) {
+	ctx := c.r.Context()
+	end := time.Now().Add(d.Patient)
+	for {
+		r, err := f(ctx)
+		switch {
+		case err == nil:
+			return r, verdict{}, true
+		case errors.Is(err, exchange.ErrElsewhere):
+			type who struct {
+				m  *trunk.Member
+				ok bool
+			}
+			o, _ := exchange.Ask(d.Svc.Loop, func() who {
+				m, ok := d.Svc.Board.Owner(shard)
+				if ok && m.Id == d.Svc.Board.Me().Id {
+					return who{}
+				}
+				return who{m, ok}
+			})
+			if o.ok && o.m.Control != "" {
+				return r, verdict{out: elsewhere, to: "http://" + o.m.Control + c.r.RequestURI}, false
+			}
+		case errors.Is(err, exchange.ErrBusy):
+		default:
+			return r, verdict{out: unsure}, false
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return r, verdict{out: busy}, false
+		}
+		t := time.NewTimer(d.Step)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+func hold(f *float64) (time.Duration, bool) {
+	if f == nil || !(*f > 0) || *f > 86400 {
+		return 0, false
+	}
+	return time.Duration(math.Ceil(*f*1000)) * time.Millisecond, true
+}
+
+func granted(g numbering.Grant, v verdict, done bool) verdict {
+	if !done {
+		return v
+	}
+	if g.Outcome == numbering.Held || g.Outcome == numbering.Lost {
+		return verdict{out: held}
+	}
+	return verdict{body: lockResp{g.Fence}}
+}
+
+func (d *Core) take(c call, q lockReq) verdict {
+	h, good := hold(q.HoldS)
+	if !good || q.HolderID == "" {
+		return verdict{out: malformed, why: "holderId and a holdS above 0 are wanted"}
+	}
+	return granted(at(d, c, d.Svc.Shard(c.id), func(x context.Context) (numbering.Grant, error) { return d.Svc.Take(x, c.id, q.HolderID, h) }))
+}
+
+func (d *Core) renew(c call, q lockReq) verdict {
+	h, good := hold(q.HoldS)
+	if !good || q.HolderID == "" {
+		return verdict{out: malformed, why: "holderId, fenceNo and a holdS above 0 are wanted"}
+	}
+	return granted(at(d, c, d.Svc.Shard(c.id), func(x context.Context) (numbering.Grant, error) {
+		return d.Svc.Renew(x, c.id, q.HolderID, q.FenceNo, h)
+	}))
+}
+
+func (d *Core) drop(c call, q lockReq) verdict {
+	_, v, done := at(d, c, d.Svc.Shard(c.id), func(x context.Context) (numbering.Grant, error) {
+		return d.Svc.Release(x, c.id, q.HolderID, q.FenceNo)
+	})
+	if !done {
+		return v
+	}
+	return verdict{body: none{}}
+}
+
+func (d *Core) number(c call, _ none) verdict {
+	n, v, done := at(d, c, d.Svc.Shard(c.id), func(x context.Context) (uint64, error) { return d.Svc.Next(x, c.id) })
+	if !done {
+		return v
+	}
+	return verdict{body: numberResp{n}}
+}
+
+func (d *Core) put(c call, q cellReq) verdict {
+	if q.Payload == nil {
+		return verdict{out: malformed, why: "payload is wanted"}
+	}
+	r, v, done := at(d, c, d.Svc.Shard(numbering.GroupOf(c.id)), func(x context.Context) (numbering.Cell, error) {
+		return d.Svc.Put(x, c.id, *q.Payload, q.Topic)
+	})
+	if !done {
+		return v
+	}
+	if r.Outcome == numbering.Moved {
+		return verdict{out: moved, body: cellResp{r.Revision}}
+	}
+	return verdict{body: cellResp{r.Revision}}
+}
+
+func (d *Core) get(c call, _ none) verdict {
+	r, v, done := at(d, c, d.Svc.Shard(numbering.GroupOf(c.id)), func(x context.Context) (numbering.Cell, error) { return d.Svc.Get(x, c.id) })
+	if !done {
+		return v
+	}
+	if r.Outcome == numbering.Absent {
+		return verdict{out: absent}
+	}
+	return verdict{body: readResp{r.Payload, r.Revision}}
+}
+
+func (d *Core) watch(c call, _ none) verdict {
+	q := c.r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
+	if err != nil && q.Get("after") != "" {
+		return verdict{out: malformed, why: "after is no revision"}
+	}
+	ms := uint64(0)
+	if s := q.Get("waitMs"); s != "" {
+		if ms, err = strconv.ParseUint(s, 10, 32); err != nil {
+			return verdict{out: malformed, why: "waitMs is no number of milliseconds"}
+		}
+	}
+	wait := min(time.Duration(ms)*time.Millisecond, time.Minute)
+	e, v, done := at(d, c, d.Svc.Shard(c.id), func(x context.Context) (numbering.Events, error) { return d.Svc.Watch(x, c.id, after, wait) })
+	if !done {
+		return v
+	}
+	if e.Outcome == numbering.Gone {
+		return verdict{out: gone}
+	}
+	r := watchResp{EventList: []event{}, Revision: max(e.Revision, after)}
+	for _, p := range e.List {
+		r.EventList = append(r.EventList, event{p.Name, p.Payload, p.Revision})
+	}
+	return verdict{body: r}
+}
+
+// Configuration
+
+func ReadConfig(t *numbering.Table) *trunk.Config {
+	c := &trunk.Config{}
+	if b := t.Blob(ConfigBlob); b != nil {
+		if proto.Unmarshal(b.Data, c) != nil {
+			return &trunk.Config{}
+		}
+	}
+	return c
+}
+
+func (d *Core) current(ctx context.Context) (*trunk.Config, error) {
+	return numbering.Run(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, *trunk.Config) {
+		return nil, ReadConfig(t)
+	})
+}
+
+func (d *Core) config(c call, _ none) verdict {
+	x, v, done := at(d, c, 0, d.current)
+	if !done {
+		return v
+	}
+	if x.Stamp == 0 {
+		return verdict{out: absent, why: "no configuration yet"}
+	}
+	return verdict{body: x.Doc}
+}
+
+type taking struct {
+	out outcome
+	now uint64
+}
+
+func (d *Core) putConfig(w http.ResponseWriter, c call) {
+	d.change(w, c, func(b []byte, _ *trunk.Config) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
+		doc, err := dialplan.Read(b)
+		return doc.Stamp, func(*trunk.Config) (dialplan.Doc, error) { return doc, nil }, err
+	})
+}
+
+func (d *Core) patchConfig(w http.ResponseWriter, c call) {
+	d.change(w, c, func(b []byte, _ *trunk.Config) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
+		p, err := dialplan.ReadPatch(b)
+		return p.Stamp, func(cur *trunk.Config) (dialplan.Doc, error) {
+			if cur.Stamp == 0 {
+				return dialplan.Doc{}, dialplan.Error.New("there is no configuration to change")
+			}
+			old, err := dialplan.Read(cur.Doc)
+			if err != nil {
+				return dialplan.Doc{}, err
+			}
+			return old.With(p)
+		}, err
+	})
+}
+
+func (d *Core) change(w http.ResponseWriter, c call, read func([]byte, *trunk.Config) (uint64, func(*trunk.Config) (dialplan.Doc, error), error)) {
+	b, err := body(w, c.r, maxConfig)
+	if err != nil {
+		write(w, verdict{out: tooBig(err)})
+		return
+	}
+	on, err := dialplan.ParseStamp(c.r.Header.Get("If-Match"))
+	if err != nil {
+		write(w, verdict{out: malformed, why: "If-Match: " + err.Error()})
+		return
+	}
+	cur, v, done := at(d, c, 0, d.current)
+	if !done {
+		write(w, v)
+		return
+	}
+	stamp, make, err := read(b, cur)
+	if err != nil {
+		write(w, verdict{out: unprocessable, why: err.Error()})
+		return
+	}
+	sum := sha256.Sum256(append([]byte(c.r.Method+" "), b...))
+	for _, t := range cur.Taken {
+		if t.Stamp == stamp && bytes.Equal(t.Sum, sum[:]) {
+			write(w, verdict{body: none{}})
+			return
+		}
+	}
+	if cur.Stamp != on {
+		write(w, verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(cur.Stamp)})
+		return
+	}
+	if stamp <= cur.Stamp {
+		write(w, verdict{out: unprocessable, why: "stamp " + dialplan.FormatStamp(stamp) + " is not above " + dialplan.FormatStamp(cur.Stamp)})
+		return
+	}
+	doc, err := make(cur)
+	if err != nil {
+		write(w, verdict{out: unprocessable, why: err.Error()})
+		return
+	}
+	next := &trunk.Config{Stamp: stamp, Doc: doc.Write(), Taken: append(cur.Taken, &trunk.Taken{Stamp: stamp, Sum: sum[:]})}
+	if n := len(next.Taken); n > keepTaken {
+		next.Taken = next.Taken[n-keepTaken:]
+	}
+	data, err := proto.Marshal(next)
+	if err != nil {
+		write(w, verdict{out: unsure})
+		return
+	}
+	r, v, done := at(d, c, 0, func(ctx context.Context) (taking, error) {
+		return numbering.Run(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, taking) {
+			x := ReadConfig(t)
+			for _, k := range x.Taken {
+				if k.Stamp == stamp && bytes.Equal(k.Sum, sum[:]) {
+					return nil, taking{ok, x.Stamp}
+				}
+			}
+			if x.Stamp != cur.Stamp {
+				return nil, taking{moved, x.Stamp}
+			}
+			return &trunk.Change{Blob: &trunk.Blob{Name: ConfigBlob, Data: data, Stamp: stamp}}, taking{ok, stamp}
+		})
+	})
+	if !done {
+		if v.out == busy || v.out == elsewhere {
+			write(w, v)
+			return
+		}
+		write(w, v)
+		return
+	}
+	if r.out == moved {
+		write(w, verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(r.now)})
+		return
+	}
+	if d.Trace != nil {
+		d.Trace("configuration acknowledged", 0, stamp, "")
+	}
+	write(w, verdict{body: none{}})
+}
--- /dev/null
+++ b/internal/dialplan/read.go
@@ -0,0 +1,512 @@
+// Package dialplan reads the operator's configuration field by field, checks
+// it, and compiles it to a table that processes share by copy-on-write.
+package dialplan
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/jx"
+	"github.com/zeebo/errs"
+)
+
+var Error = errs.Class("dialplan")
+
+const (
+	varBinding = "bindingList"
+	varService = "serviceList"
+	varLimits  = "limitSet"
+)
+
+type Kind int
+
+const (
+	Pure Kind = iota
+	Effectful
+	Upload
+	Download
+)
+
+var kinds = map[string]Kind{"pure": Pure, "effectful": Effectful, "upload": Upload, "download": Download}
+
+func (k Kind) Repeatable() bool { return k == Pure || k == Download }
+
+func (k Kind) String() string {
+	for s, x := range kinds {
+		if x == k {
+			return s
+		}
+	}
+	return "unknown"
+}
+
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+type Binding struct {
+	Name        string
+	Host        string
+	Prefix      string
+	Kind        Kind
+	Timeout     time.Duration
+	Target      time.Duration
+	Rank        int
+	MaxAttempts int
+	Split       []Share
+}
+
+type Service struct {
+	Name          string
+	SoundnessPath string
+	MaxConns      int
+	Protocol      string
+	TLS           bool
+}
+
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	Header      time.Duration
+	Idle        time.Duration
+}
+
+func DefaultLimits() Limits {
+	return Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, Header: 3 * time.Second, Idle: 15 * time.Second}
+}
+
+// Item is one entry of the list: what was read of it, and its own bytes.
+type Item struct {
+	Variant string
+	Name    string
+	Raw     jx.Raw
+	Binding Binding
+	Service Service
+	Limits  Limits
+}
+
+type Doc struct {
+	Stamp uint64
+	Items []Item
+}
+
+type Patch struct {
+	Stamp    uint64
+	Upserts  []Item
+	Removals map[string][]string
+}
+
+func ParseStamp(s string) (uint64, error) {
+	t := strings.TrimPrefix(strings.Trim(strings.TrimSpace(s), `"`), "r")
+	n, err := strconv.ParseUint(t, 10, 64)
+	if err != nil {
+		return 0, Error.New("%q is no stamp such as r12", s)
+	}
+	return n, nil
+}
+
+func FormatStamp(n uint64) string { return "r" + strconv.FormatUint(n, 10) }
+
+func secs(d *jx.Decoder) (time.Duration, error) {
+	f, err := d.Float64()
+	if err != nil {
+		return 0, err
+	}
+	if f < 0 || f > 1e6 {
+		return 0, fmt.Errorf("%v seconds is out of range", f)
+	}
+	return time.Duration(f * float64(time.Second)), nil
+}
+
+func whole(d *jx.Decoder, to *int) error {
+	f, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	if f < 0 || f > 1<<31 || f != float64(int(f)) {
+		return fmt.Errorf("%v is no whole number in range", f)
+	}
+	*to = int(f)
+	return nil
+}
+
+func text(d *jx.Decoder, to *string) error {
+	s, err := d.Str()
+	*to = s
+	return err
+}
+
+// opt lets a field hold null, which counts as left out.
+func opt(d *jx.Decoder, f func() error) error {
+	if d.Next() == jx.Null {
+		return d.Null()
+	}
+	return f()
+}
+
+func at(where string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return fmt.Errorf("%s: %w", where, err)
+}
+
+func readStamp(d *jx.Decoder, to *uint64) error {
+	s, err := d.Str()
+	if err != nil {
+		return err
+	}
+	if !strings.HasPrefix(s, "r") {
+		return fmt.Errorf("%q is no stamp such as r12", s)
+	}
+	*to, err = ParseStamp(s)
+	return err
+}
+
+func readBinding(d *jx.Decoder, b *Binding) error {
+	kind, one := "", ""
+	b.MaxAttempts = 1
+	err := d.Obj(func(d *jx.Decoder, k string) error {
+		return at(k, opt(d, func() error {
+			switch k {
+			case "hostname":
+				return text(d, &b.Host)
+			case "pathPrefix":
+				return text(d, &b.Prefix)
+			case "bindingKind":
+				return text(d, &kind)
+			case "timeoutS":
+				v, err := secs(d)
+				b.Timeout = v
+				return err
+			case "targetS":
+				v, err := secs(d)
+				b.Target = v
+				return err
+			case "rank":
+				return whole(d, &b.Rank)
+			case "maxAttempts":
+				return whole(d, &b.MaxAttempts)
+			case "serviceName":
+				return text(d, &one)
+			case "weightedSplit":
+				return d.Arr(func(d *jx.Decoder) error {
+					var s Share
+					if err := d.Obj(func(d *jx.Decoder, k string) error {
+						switch k {
+						case "serviceName":
+							return text(d, &s.Service)
+						case "share":
+							f, err := d.Float64()
+							if err == nil && f < 0 {
+								err = fmt.Errorf("share %v is below 0", f)
+							}
+							s.Weight = f
+							return err
+						}
+						return d.Skip()
+					}); err != nil {
+						return err
+					}
+					b.Split = append(b.Split, s)
+					return nil
+				})
+			}
+			return d.Skip()
+		}))
+	})
+	if err != nil {
+		return err
+	}
+	k, ok := kinds[kind]
+	if !ok {
+		return fmt.Errorf("bindingKind: %q is none of pure, effectful, upload, download", kind)
+	}
+	b.Kind = k
+	if one != "" && len(b.Split) > 0 {
+		return fmt.Errorf("serviceName and weightedSplit exclude each other")
+	}
+	if one != "" {
+		b.Split = []Share{{one, 1}}
+	}
+	if len(b.Split) == 0 {
+		return fmt.Errorf("serviceName is missing")
+	}
+	if b.Host == "" {
+		return fmt.Errorf("hostname is missing")
+	}
+	b.Host = strings.ToLower(b.Host)
+	if !strings.HasPrefix(b.Prefix, "/") || !strings.HasSuffix(b.Prefix, "/") {
+		return fmt.Errorf("pathPrefix: %q must begin and end with a slash", b.Prefix)
+	}
+	return nil
+}
+
+func readService(d *jx.Decoder, s *Service) error {
+	return d.Obj(func(d *jx.Decoder, k string) error {
+		return at(k, opt(d, func() error {
+			switch k {
+			case "soundnessPath":
+				return text(d, &s.SoundnessPath)
+			case "maxConns":
+				return whole(d, &s.MaxConns)
+			case "protocol":
+				return text(d, &s.Protocol)
+			case "tlsMode":
+				v, err := d.Bool()
+				s.TLS = v
+				return err
+			}
+			return d.Skip()
+		}))
+	})
+}
+
+func readLimits(d *jx.Decoder, l *Limits) error {
+	*l = DefaultLimits()
+	return d.Obj(func(d *jx.Decoder, k string) error {
+		return at(k, opt(d, func() error {
+			switch k {
+			case "headerBytes":
+				return whole(d, &l.HeaderBytes)
+			case "maxBodyBytes":
+				f, err := d.Float64()
+				l.BodyBytes = int64(f)
+				if err == nil && f < 0 {
+					err = fmt.Errorf("%v is below 0", f)
+				}
+				return err
+			case "headerS":
+				v, err := secs(d)
+				l.Header = v
+				return err
+			case "idleTimeoutS":
+				v, err := secs(d)
+				l.Idle = v
+				return err
+			}
+			return d.Skip()
+		}))
+	})
+}
+
+func readItem(raw jx.Raw) (Item, error) {
+	it := Item{Raw: append(jx.Raw(nil), raw...)}
+	var spec jx.Raw
+	d := jx.DecodeBytes(raw)
+	if err := d.Obj(func(d *jx.Decoder, k string) error {
+		switch k {
+		case "variant":
+			return at(k, text(d, &it.Variant))
+		case "metadata":
+			return at(k, d.Obj(func(d *jx.Decoder, k string) error {
+				if k == "name" {
+					return text(d, &it.Name)
+				}
+				return d.Skip()
+			}))
+		case "specification":
+			r, err := d.Raw()
+			spec = r
+			return at(k, err)
+		}
+		return d.Skip()
+	}); err != nil {
+		return it, err
+	}
+	if spec == nil {
+		return it, fmt.Errorf("specification is missing")
+	}
+	sd := jx.DecodeBytes(spec)
+	switch it.Variant {
+	case varBinding:
+		it.Binding.Name = it.Name
+		if it.Name == "" {
+			return it, fmt.Errorf("metadata.name is missing")
+		}
+		return it, at(it.Name, readBinding(sd, &it.Binding))
+	case varService:
+		it.Service.Name = it.Name
+		if it.Name == "" {
+			return it, fmt.Errorf("metadata.name is missing")
+		}
+		return it, at(it.Name, readService(sd, &it.Service))
+	case varLimits:
+		return it, readLimits(sd, &it.Limits)
+	}
+	return it, fmt.Errorf("variant: %q is none of %s, %s, %s", it.Variant, varBinding, varService, varLimits)
+}
+
+func readItems(d *jx.Decoder) ([]Item, error) {
+	var out []Item
+	err := d.Arr(func(d *jx.Decoder) error {
+		r, err := d.Raw()
+		if err != nil {
+			return err
+		}
+		it, err := readItem(r)
+		if err != nil {
+			return fmt.Errorf("entry %d: %w", len(out), err)
+		}
+		out = append(out, it)
+		return nil
+	})
+	return out, err
+}
+
+func valid(b []byte) error {
+	if !jx.Valid(b) {
+		return Error.New("this is no whole JSON document")
+	}
+	return nil
+}
+
+func Read(b []byte) (Doc, error) {
+	if err := valid(b); err != nil {
+		return Doc{}, err
+	}
+	var c Doc
+	list := false
+	if err := jx.DecodeBytes(b).Obj(func(d *jx.Decoder, k string) (err error) {
+		switch k {
+		case "stamp":
+			return at(k, readStamp(d, &c.Stamp))
+		case "resourceList":
+			list = true
+			c.Items, err = readItems(d)
+			return at(k, err)
+		}
+		return d.Skip()
+	}); err != nil {
+		return Doc{}, Error.Wrap(err)
+	}
+	if c.Stamp == 0 {
+		return Doc{}, Error.New("stamp is missing or 0")
+	}
+	if !list {
+		return Doc{}, Error.New("resourceList is missing")
+	}
+	return c, c.Check()
+}
+
+func ReadPatch(b []byte) (Patch, error) {
+	if err := valid(b); err != nil {
+		return Patch{}, err
+	}
+	p := Patch{Removals: map[string][]string{}}
+	if err := jx.DecodeBytes(b).Obj(func(d *jx.Decoder, k string) error {
+		switch k {
+		case "stamp":
+			return at(k, readStamp(d, &p.Stamp))
+		case "upserts":
+			return at(k, d.Obj(func(d *jx.Decoder, k string) (err error) {
+				if k != "resourceList" {
+					return fmt.Errorf("%q is no list that can be changed", k)
+				}
+				p.Upserts, err = readItems(d)
+				return at(k, err)
+			}))
+		case "removals":
+			return at(k, d.Obj(func(d *jx.Decoder, k string) error {
+				if k != varBinding && k != varService && k != varLimits {
+					return fmt.Errorf("%q is no list that can be changed", k)
+				}
+				return at(k, d.Arr(func(d *jx.Decoder) error {
+					var s string
+					err := text(d, &s)
+					p.Removals[k] = append(p.Removals[k], s)
+					return err
+				}))
+			}))
+		}
+		return d.Skip()
+	}); err != nil {
+		return Patch{}, Error.Wrap(err)
+	}
+	if p.Stamp == 0 {
+		return Patch{}, Error.New("stamp is missing or 0")
+	}
+	return p, nil
+}
+
+func (c Doc) With(p Patch) (Doc, error) {
+	drop := map[string]bool{}
+	for v, ns := range p.Removals {
+		for _, n := range ns {
+			drop[v+"\x00"+n] = true
+		}
+	}
+	up := map[string]int{}
+	for i, it := range p.Upserts {
+		up[it.Variant+"\x00"+it.Name] = i
+	}
+	out := Doc{Stamp: p.Stamp}
+	for _, it := range c.Items {
+		k := it.Variant + "\x00" + it.Name
+		if i, ok := up[k]; ok {
+			out.Items = append(out.Items, p.Upserts[i])
+			delete(up, k)
+			continue
+		}
+		if !drop[k] {
+			out.Items = append(out.Items, it)
+		}
+	}
+	for i, it := range p.Upserts {
+		if j, ok := up[it.Variant+"\x00"+it.Name]; ok && j == i {
+			out.Items = append(out.Items, it)
+		}
+	}
+	return out, out.Check()
+}
+
+func (c Doc) Check() error {
+	names := map[string]bool{}
+	svcs := map[string]bool{}
+	for _, it := range c.Items {
+		k := it.Variant + "\x00" + it.Name
+		if names[k] {
+			return Error.New("%s: %q stands there twice", it.Variant, it.Name)
+		}
+		names[k] = true
+		if it.Variant == varService {
+			svcs[it.Name] = true
+		}
+	}
+	places := map[string]string{}
+	for _, it := range c.Items {
+		if it.Variant != varBinding {
+			continue
+		}
+		b := it.Binding
+		for _, s := range b.Split {
+			if !svcs[s.Service] {
+				return Error.New("binding %s: service %q is unknown", b.Name, s.Service)
+			}
+		}
+		pl := b.Host + "\x00" + b.Prefix
+		if o, ok := places[pl]; ok {
+			return Error.New("bindings %s and %s share host %s and prefix %s", o, b.Name, b.Host, b.Prefix)
+		}
+		places[pl] = b.Name
+	}
+	return nil
+}
+
+func (c Doc) Write() []byte {
+	var e jx.Encoder
+	e.ObjStart()
+	e.FieldStart("stamp")
+	e.Str(FormatStamp(c.Stamp))
+	e.FieldStart("resourceList")
+	e.ArrStart()
+	for _, it := range c.Items {
+		e.Raw(it.Raw)
+	}
+	e.ArrEnd()
+	e.ObjEnd()
+	return append([]byte(nil), e.Bytes()...)
+}
--- /dev/null
+++ b/internal/exchange/board.go
@@ -0,0 +1,419 @@
+// Package exchange keeps the shards of the control state: who owns each, under
+// which epoch, and where its copies are.
+package exchange
+
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/trunk"
+)
+
+var Error = errs.Class("exchange")
+
+var (
+	ErrElsewhere = Error.New("another member owns this shard")
+	ErrBusy      = Error.New("no owner can serve now; nothing was done")
+	ErrUnsure    = Error.New("the change may or may not have been taken")
+)
+
+type Table interface {
+	Apply(*trunk.Change, time.Duration)
+	Dump(time.Duration) *trunk.ShardState
+	Load(*trunk.ShardState, time.Duration, bool)
+	Lead()
+	Blob(string) *trunk.Blob
+}
+
+// Wire carries calls to other members. Each callback runs on the board's
+// goroutine; a nil answer means that no answer came.
+type Wire interface {
+	Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp))
+	Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp))
+	Ask(to *trunk.Member, q *trunk.AskReq, cb func(*trunk.AskResp))
+	Hand(to *trunk.Member, q *trunk.HandReq, cb func(*trunk.HandResp))
+	Enroll(to *trunk.Member, q *trunk.EnrollReq, cb func(*trunk.EnrollResp))
+	Survey(to string, q *trunk.SurveyReq, cb func(*trunk.SurveyResp))
+	Join(to *trunk.Member, q *trunk.JoinReq, cb func(*trunk.JoinResp))
+}
+
+// Book keeps records. Each callback runs on the board's goroutine, in the
+// order of the calls.
+type Book interface {
+	Append(rec []byte, done func(error))
+	Checkpoint(page [][]byte, done func(error))
+}
+
+type Options struct {
+	Me        *trunk.Member
+	Seeds     []*trunk.Member
+	First     bool
+	Shards    int
+	Hold      time.Duration
+	Beat      time.Duration
+	CallWait  time.Duration
+	Unreached time.Duration
+	LogBytes  int
+	NewTable  func() Table
+	NewID     func() string
+	Now       func() time.Duration
+	Rand      func(n int) int
+	Note      func(f string, a ...any)
+	OnOwner   func(shard int, own bool, epoch uint64)
+	OnCommit  func(shard int)
+	OnRoll    func(*trunk.Roll)
+}
+
+type role int
+
+const (
+	idle role = iota
+	asking
+	owner
+	handing
+)
+
+type wait struct {
+	stamp uint64
+	epoch uint64
+	chg   bool
+	until time.Duration
+	cb    func(error)
+}
+
+type tail struct {
+	e    *trunk.Entry
+	size int
+}
+
+type shard struct {
+	ix     int
+	table  Table
+	epoch  uint64
+	stamp  uint64
+	synced uint64
+
+	promised   uint64
+	promisedBy string
+	pledgedAt  time.Duration
+	heldUntil  time.Duration
+
+	role    role
+	since   time.Duration
+	asked   uint64
+	oks     map[string]bool
+	best    *trunk.ShardState
+	bestAt  uint64
+	bestSt  uint64
+	commit  uint64
+	base    uint64
+	serving bool
+	settled uint64
+	tails   []*trunk.Entry
+	waits   []wait
+	succ    string
+	lease   time.Duration
+	retryAt time.Duration
+}
+
+type peer struct {
+	m       *trunk.Member
+	heard   time.Duration
+	ever    bool
+	sound   bool
+	soundAt time.Duration
+	holding bool
+	copying bool
+	nextAt  time.Duration
+	grants  []time.Duration
+	acked   []uint64
+	known   []uint64
+}
+
+type Board struct {
+	o      Options
+	wire   Wire
+	book   Book
+	me     *trunk.Member
+	roll   *trunk.Roll
+	shards []*shard
+	peers  map[string]*peer
+
+	diskBad  bool
+	diskTry  time.Duration
+	diskBusy bool
+	written  int
+	blank    bool
+	first    bool
+	leaving  bool
+	started  time.Duration
+
+	lastHold time.Duration
+
+	joiners  map[string]*joiner
+	enrolled map[string]bool
+	prior    *trunk.Roll
+	survey   map[string]*trunk.SurveyResp
+	surveyAt time.Duration
+	settles  map[int]uint64
+}
+
+func New(o Options, w Wire, bk Book, recs [][]byte) (*Board, error) {
+	b := &Board{o: o, wire: w, book: bk, me: proto.Clone(o.Me).(*trunk.Member), peers: map[string]*peer{},
+		joiners: map[string]*joiner{}, settles: map[int]uint64{}, first: o.First, started: o.Now()}
+	for i := 0; i < o.Shards; i++ {
+		b.shards = append(b.shards, &shard{ix: i, table: o.NewTable()})
+	}
+	now := o.Now()
+	for _, r := range recs {
+		var rec trunk.Record
+		if err := proto.Unmarshal(r, &rec); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		b.replay(&rec, now)
+	}
+	if b.me.Id == "" {
+		founder := false
+		if o.First {
+			for _, s := range o.Seeds {
+				if s.Addr == o.Me.Addr {
+					founder = true
+				}
+			}
+		}
+		if founder {
+			b.me.Id = "founder-" + o.Me.Addr
+			r := &trunk.Roll{Stamp: 1}
+			for _, s := range o.Seeds {
+				m := proto.Clone(s).(*trunk.Member)
+				m.Id = "founder-" + s.Addr
+				r.Members = append(r.Members, m)
+			}
+			b.roll = r
+		} else {
+			b.me.Id = o.NewID()
+			b.blank = true
+		}
+	} else if b.roll == nil || !inRoll(b.roll, b.me.Id) {
+		b.blank = true
+	}
+	if b.roll == nil {
+		b.roll = &trunk.Roll{}
+	}
+	for _, s := range b.shards {
+		if s.promisedBy != "" && s.promisedBy != b.me.Id {
+			s.heldUntil = now + o.Hold
+		}
+	}
+	b.setPeers()
+	b.checkpoint()
+	return b, nil
+}
+
+func (b *Board) replay(r *trunk.Record, now time.Duration) {
+	if id := r.GetIdentity(); id != nil {
+		b.me.Id = id.Id
+	}
+	if x := r.GetRoll(); x != nil && (b.roll == nil || x.Stamp > b.roll.Stamp) {
+		b.roll = x
+	}
+	if p := r.GetPledge(); p != nil && int(p.Shard) < len(b.shards) {
+		s := b.shards[p.Shard]
+		if p.Epoch >= s.promised {
+			s.promised, s.promisedBy = p.Epoch, p.By
+		}
+	}
+	if st := r.GetState(); st != nil && int(st.Shard) < len(b.shards) {
+		s := b.shards[st.Shard]
+		s.epoch, s.stamp = st.Epoch, st.Stamp
+		s.table.Load(st, now, true)
+	}
+	if e := r.GetEntry(); e != nil && int(e.Shard) < len(b.shards) {
+		s := b.shards[e.Shard]
+		if e.Epoch == s.epoch && e.Stamp == s.stamp+1 {
+			s.stamp = e.Stamp
+			s.table.Apply(e.Change, now)
+		}
+	}
+}
+
+func inRoll(r *trunk.Roll, id string) bool {
+	for _, m := range r.GetMembers() {
+		if m.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Board) now() time.Duration { return b.o.Now() }
+
+func (b *Board) note(f string, a ...any) {
+	if b.o.Note != nil {
+		b.o.Note(f, a...)
+	}
+}
+
+func (b *Board) majority() int { return len(b.roll.Members)/2 + 1 }
+
+func (b *Board) member() bool { return !b.blank && inRoll(b.roll, b.me.Id) }
+
+func (b *Board) index(id string) int {
+	for i, m := range b.roll.Members {
+		if m.Id == id {
+			return i
+		}
+	}
+	return -1
+}
+
+func (b *Board) setPeers() {
+	n := map[string]*peer{}
+	for _, m := range b.roll.Members {
+		if m.Id == b.me.Id {
+			continue
+		}
+		p := b.peers[m.Id]
+		if p == nil {
+			p = &peer{m: m, grants: make([]time.Duration, len(b.shards)), acked: make([]uint64, len(b.shards)), known: make([]uint64, len(b.shards))}
+			for i := range p.grants {
+				p.grants[i] = -1 << 62
+			}
+		}
+		p.m = m
+		n[m.Id] = p
+	}
+	b.peers = n
+}
+
+func (b *Board) alive(id string) bool {
+	if id == b.me.Id {
+		return true
+	}
+	p := b.peers[id]
+	return p != nil && p.ever && b.now()-p.heard < b.o.Hold
+}
+
+func (b *Board) ready(id string) bool {
+	if id == b.me.Id {
+		return !b.diskBad && !b.leaving && b.member()
+	}
+	return b.alive(id) && b.peers[id].sound
+}
+
+func (b *Board) head(to string) *trunk.Head {
+	return &trunk.Head{From: b.me, To: to, Roll: b.roll.Stamp}
+}
+
+// disk
+
+func enc(r *trunk.Record) []byte {
+	x, err := proto.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return x
+}
+
+func (b *Board) save(r *trunk.Record, done func(error)) {
+	x := enc(r)
+	b.written += len(x)
+	b.book.Append(x, func(err error) {
+		if err != nil {
+			b.spoil(err)
+		}
+		done(err)
+	})
+	if b.written > b.o.LogBytes && !b.diskBusy && !b.diskBad {
+		b.checkpoint()
+	}
+}
+
+func (b *Board) spoil(err error) {
+	if !b.diskBad {
+		b.note("disk refuses: %v", err)
+		b.diskBad = true
+		b.diskTry = b.now() + 300*time.Millisecond
+	}
+}
+
+func (b *Board) page() [][]byte {
+	out := [][]byte{enc(&trunk.Record{Identity: &trunk.Identity{Id: b.me.Id}})}
+	if b.roll.Stamp > 0 {
+		out = append(out, enc(&trunk.Record{Roll: b.roll}))
+	}
+	for _, s := range b.shards {
+		st := b.dump(s)
+		out = append(out, enc(&trunk.Record{State: st}))
+		if s.promised > 0 {
+			out = append(out, enc(&trunk.Record{Pledge: &trunk.Pledge{Shard: uint32(s.ix), Epoch: s.promised, By: s.promisedBy}}))
+		}
+	}
+	return out
+}
+
+func (b *Board) checkpoint() {
+	b.diskBusy = true
+	b.written = 0
+	type mark struct{ epoch, stamp uint64 }
+	var ms []mark
+	for _, s := range b.shards {
+		ms = append(ms, mark{s.epoch, s.stamp})
+	}
+	b.book.Checkpoint(b.page(), func(err error) {
+		b.diskBusy = false
+		if err != nil {
+			b.spoil(err)
+			b.diskTry = b.now() + 300*time.Millisecond
+			return
+		}
+		if b.diskBad {
+			b.note("disk takes writes again")
+		}
+		b.diskBad = false
+		for i, s := range b.shards {
+			if s.epoch == ms[i].epoch {
+				s.synced = max(s.synced, ms[i].stamp)
+				b.advance(s)
+			}
+		}
+	})
+}
+
+func (b *Board) dump(s *shard) *trunk.ShardState {
+	st := s.table.Dump(b.now())
+	st.Shard, st.Epoch, st.Stamp = uint32(s.ix), s.epoch, s.stamp
+	return st
+}
+
+// install makes st the shard's accepted state and calls done once it is synced.
+func (b *Board) install(s *shard, st *trunk.ShardState, epoch uint64, done func(error)) {
+	s.table.Load(st, b.now(), false)
+	s.epoch, s.stamp, s.synced = epoch, st.Stamp, 0
+	rec := proto.Clone(st).(*trunk.ShardState)
+	rec.Shard, rec.Epoch = uint32(s.ix), epoch
+	at := st.Stamp
+	b.save(&trunk.Record{State: rec}, func(err error) {
+		if err == nil && s.epoch == epoch {
+			s.synced = max(s.synced, at)
+		}
+		done(err)
+	})
+}
+
+func (b *Board) Sound() bool { return !b.diskBad }
+
+func (b *Board) Roll() *trunk.Roll { return b.roll }
+
+func (b *Board) Me() *trunk.Member { return b.me }
+
+func (b *Board) Table(i int) Table { return b.shards[i].table }
+
+func (b *Board) Blank() bool { return !b.member() }
+
+// Clean tells that all of the shard's content is committed.
+func (b *Board) Clean(i int) bool { return b.shards[i].commit >= b.shards[i].stamp }
+
+func (b *Board) Epoch(i int) uint64 { return b.shards[i].epoch }
--- /dev/null
+++ b/internal/exchange/loop.go
@@ -0,0 +1,170 @@
+package exchange
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"corkcove/internal/tollbook"
+	"corkcove/internal/trunk"
+)
+
+// Loop is the board's mailbox: one goroutine runs all that is put in.
+type Loop struct {
+	ch   chan func()
+	end  chan struct{}
+	once sync.Once
+}
+
+func NewLoop() *Loop { return &Loop{ch: make(chan func(), 4096), end: make(chan struct{})} }
+
+func (l *Loop) Put(f func()) {
+	select {
+	case l.ch <- f:
+	case <-l.end:
+	}
+}
+
+func (l *Loop) Close() { l.once.Do(func() { close(l.end) }) }
+
+func (l *Loop) Run(tick time.Duration, on func()) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case f := <-l.ch:
+			f()
+		case <-t.C:
+			on()
+		case <-l.end:
+			return
+		}
+	}
+}
+
+// Ask runs f on the loop and waits for its answer.
+func Ask[R any](l *Loop, f func() R) (r R, ok bool) {
+	c := make(chan R, 1)
+	l.Put(func() { c <- f() })
+	select {
+	case r = <-c:
+		return r, true
+	case <-l.end:
+		return r, false
+	}
+}
+
+// Later runs f on the loop; f hands its answer to reply when it is ready.
+func Later[R any](ctx context.Context, l *Loop, f func(reply func(R))) (r R, ok bool) {
+	c := make(chan R, 1)
+	l.Put(func() { f(func(r R) { c <- r }) })
+	select {
+	case r = <-c:
+		return r, true
+	case <-ctx.Done():
+		return r, false
+	case <-l.end:
+		return r, false
+	}
+}
+
+type Shelf struct {
+	Loop *Loop
+	Book *tollbook.Book
+}
+
+func (s Shelf) Append(rec []byte, done func(error)) {
+	s.Book.Append(rec, func(err error) { s.Loop.Put(func() { done(err) }) })
+}
+
+func (s Shelf) Checkpoint(page [][]byte, done func(error)) {
+	s.Book.Checkpoint(page, func(err error) { s.Loop.Put(func() { done(err) }) })
+}
+
+type Net struct {
+	Loop  *Loop
+	Lines *trunk.Lines
+	Short time.Duration
+	Long  time.Duration
+}
+
+func send[Q, R any](n Net, d time.Duration, f func(context.Context, *Q) (*R, error), q *Q, cb func(*R)) {
+	go func() {
+		r, err := trunk.Call(d, f, q)
+		if err != nil {
+			r = nil
+		}
+		n.Loop.Put(func() { cb(r) })
+	}()
+}
+
+func (n Net) Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp)) {
+	send(n, n.Short, n.Lines.Exchange(to.Addr).Hold, q, cb)
+}
+
+func (n Net) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
+	send(n, n.Long, n.Lines.Exchange(to.Addr).Copy, q, cb)
+}
+
+func (n Net) Ask(to *trunk.Member, q *trunk.AskReq, cb func(*trunk.AskResp)) {
+	send(n, n.Short, n.Lines.Exchange(to.Addr).Ask, q, cb)
+}
+
+func (n Net) Hand(to *trunk.Member, q *trunk.HandReq, cb func(*trunk.HandResp)) {
+	send(n, n.Short, n.Lines.Exchange(to.Addr).Hand, q, cb)
+}
+
+func (n Net) Enroll(to *trunk.Member, q *trunk.EnrollReq, cb func(*trunk.EnrollResp)) {
+	send(n, n.Short, n.Lines.Exchange(to.Addr).Enroll, q, cb)
+}
+
+func (n Net) Survey(to string, q *trunk.SurveyReq, cb func(*trunk.SurveyResp)) {
+	send(n, n.Long, n.Lines.Exchange(to).Survey, q, cb)
+}
+
+func (n Net) Join(to *trunk.Member, q *trunk.JoinReq, cb func(*trunk.JoinResp)) {
+	send(n, n.Short, n.Lines.Exchange(to.Addr).Join, q, cb)
+}
+
+// Door answers other members' calls.
+type Door struct {
+	Loop  *Loop
+	Board *Board
+}
+
+var errNone = Error.New("no answer")
+
+func answer[R any](r *R, ok bool) (*R, error) {
+	if !ok || r == nil {
+		return nil, errNone
+	}
+	return r, nil
+}
+
+func (d Door) Hold(_ context.Context, q *trunk.HoldReq) (*trunk.HoldResp, error) {
+	return answer(Ask(d.Loop, func() *trunk.HoldResp { return d.Board.OnHold(q) }))
+}
+
+func (d Door) Copy(ctx context.Context, q *trunk.CopyReq) (*trunk.CopyResp, error) {
+	return answer(Later(ctx, d.Loop, func(f func(*trunk.CopyResp)) { d.Board.OnCopy(q, f) }))
+}
+
+func (d Door) Ask(ctx context.Context, q *trunk.AskReq) (*trunk.AskResp, error) {
+	return answer(Later(ctx, d.Loop, func(f func(*trunk.AskResp)) { d.Board.OnAsk(q, f) }))
+}
+
+func (d Door) Hand(_ context.Context, q *trunk.HandReq) (*trunk.HandResp, error) {
+	return answer(Ask(d.Loop, func() *trunk.HandResp { return d.Board.OnHand(q) }))
+}
+
+func (d Door) Enroll(ctx context.Context, q *trunk.EnrollReq) (*trunk.EnrollResp, error) {
+	return answer(Later(ctx, d.Loop, func(f func(*trunk.EnrollResp)) { d.Board.OnEnroll(q, f) }))
+}
+
+func (d Door) Survey(ctx context.Context, q *trunk.SurveyReq) (*trunk.SurveyResp, error) {
+	return answer(Later(ctx, d.Loop, func(f func(*trunk.SurveyResp)) { d.Board.OnSurvey(q, f) }))
+}
+
+func (d Door) Join(_ context.Context, q *trunk.JoinReq) (*trunk.JoinResp, error) {
+	return answer(Ask(d.Loop, func() *trunk.JoinResp { return d.Board.OnJoin(q) }))
+}
--- /dev/null
+++ b/internal/exchange/turns.go
@@ -0,0 +1,453 @@
+package exchange
+
+import (
+	"time"
+
+	"corkcove/internal/trunk"
+)
+
+// Tick drives holds, takeovers and handovers. It is called a few times in
+// each beat.
+func (b *Board) Tick() {
+	now := b.now()
+	if b.diskBad && !b.diskBusy && now >= b.diskTry {
+		b.checkpoint()
+	}
+	if b.blank {
+		b.seek()
+		return
+	}
+	if now-b.lastHold >= b.o.Beat {
+		b.lastHold = now
+		b.beat()
+	}
+	for _, s := range b.shards {
+		switch s.role {
+		case owner:
+			b.relet(s)
+			b.release(s)
+			if now-s.since > 2*b.o.Hold && !s.serving {
+				b.depose(s, s.epoch, "no majority took its copies")
+				continue
+			}
+			if now > s.lease+4*b.o.Hold && s.serving {
+				b.depose(s, s.epoch, "no majority holds it")
+				continue
+			}
+			b.maybeHand(s)
+		case handing:
+			b.release(s)
+			if now-s.since > b.o.Hold {
+				s.role = owner
+				s.since = now
+			}
+		case asking:
+			if now-s.since > b.o.Hold {
+				b.depose(s, s.epoch, "asked in vain")
+			}
+		}
+	}
+	for _, p := range b.peers {
+		b.push(p)
+	}
+	b.askAll()
+	b.manage()
+}
+
+func (b *Board) beat() {
+	var ms []*trunk.Mark
+	for _, s := range b.shards {
+		if s.role == owner && s.serving {
+			ms = append(ms, &trunk.Mark{Shard: uint32(s.ix), Epoch: s.epoch, Stamp: s.commit, Settled: s.settled})
+		}
+	}
+	for _, p := range b.peers {
+		if p.holding {
+			continue
+		}
+		p.holding = true
+		at := b.now()
+		q := &trunk.HoldReq{Head: b.head(p.m.Id), Marks: ms, Sound: b.ready(b.me.Id)}
+		b.wire.Hold(p.m, q, func(r *trunk.HoldResp) {
+			p.holding = false
+			if r == nil {
+				return
+			}
+			if r.Id != p.m.Id {
+				return
+			}
+			b.met(p, r.Sound)
+			if r.Roll != b.roll.Stamp {
+				b.sawRoll(p.m, r.Roll)
+				return
+			}
+			for _, i := range r.Granted {
+				s := b.shards[i]
+				p.grants[i] = max(p.grants[i], at)
+				b.relet(s)
+			}
+			for _, d := range r.Deposed {
+				s := b.shards[d.Shard]
+				if d.Epoch > s.epoch && (s.role == owner || s.role == handing) {
+					b.depose(s, d.Epoch, "a member promised a higher epoch")
+				}
+			}
+		})
+	}
+}
+
+func (b *Board) met(p *peer, sound bool) {
+	p.heard, p.ever = b.now(), true
+	if sound && !p.sound {
+		p.soundAt = b.now()
+	}
+	p.sound = sound
+}
+
+func (b *Board) OnHold(q *trunk.HoldReq) *trunk.HoldResp {
+	r := &trunk.HoldResp{Roll: b.roll.Stamp, Sound: b.ready(b.me.Id), Member: b.member(), Id: b.me.Id}
+	if q.Head.To != b.me.Id || !r.Member {
+		return r
+	}
+	if q.Head.Roll != b.roll.Stamp {
+		b.sawRoll(q.Head.From, q.Head.Roll)
+		return r
+	}
+	from := q.Head.From.Id
+	p := b.peers[from]
+	if p == nil {
+		return r
+	}
+	b.met(p, q.Sound)
+	for _, m := range q.Marks {
+		s := b.shards[m.Shard]
+		switch {
+		case m.Epoch == s.promised && s.promisedBy == from:
+			b.held(s)
+			r.Granted = append(r.Granted, m.Shard)
+			if m.Settled > 0 {
+				b.settles[s.ix] = max(b.settles[s.ix], m.Settled)
+			}
+		case m.Epoch < s.promised:
+			r.Deposed = append(r.Deposed, &trunk.Mark{Shard: m.Shard, Epoch: s.promised})
+		}
+	}
+	return r
+}
+
+// Owner names the member that this one believes to own the shard.
+func (b *Board) Owner(i int) (*trunk.Member, bool) {
+	s := b.shards[i]
+	if s.role == owner || s.role == handing {
+		return b.me, true
+	}
+	if s.promisedBy == b.me.Id || s.promisedBy == "" || b.now() >= s.heldUntil || b.blank {
+		return nil, false
+	}
+	for _, m := range b.roll.Members {
+		if m.Id == s.promisedBy {
+			return m, true
+		}
+	}
+	return nil, false
+}
+
+func (b *Board) Own(i int) (uint64, bool) {
+	s := b.shards[i]
+	return s.epoch, s.role == owner && s.serving && b.now() < s.lease
+}
+
+// order gives the place of a member in the line for a shard: shard 0 goes to
+// the lowest index, the others start at a member each.
+func (b *Board) order(i int, id string) int {
+	n := len(b.roll.Members)
+	x := b.index(id)
+	if x < 0 || n == 0 {
+		return n
+	}
+	if i == 0 {
+		return x
+	}
+	return (x - (i-1)%n + n) % n
+}
+
+func (b *Board) first1(i int) string {
+	best, at := "", 1<<30
+	for _, m := range b.roll.Members {
+		if o := b.order(i, m.Id); o < at && b.ready(m.Id) {
+			best, at = m.Id, o
+		}
+	}
+	return best
+}
+
+func (b *Board) reach() int {
+	n := 0
+	for _, m := range b.roll.Members {
+		if b.alive(m.Id) {
+			n++
+		}
+	}
+	return n
+}
+
+func (b *Board) askAll() {
+	now := b.now()
+	if !b.ready(b.me.Id) || b.reach() < b.majority() || b.survey != nil {
+		return
+	}
+	var asks []*shard
+	for _, s := range b.shards {
+		if s.role != idle || now < s.retryAt {
+			continue
+		}
+		if now < s.heldUntil && s.promisedBy != b.me.Id {
+			continue
+		}
+		if f := b.first1(s.ix); f != b.me.Id {
+			d := time.Duration(b.order(s.ix, b.me.Id)+1) * b.o.Beat
+			if now < max(s.heldUntil, s.retryAt, b.started)+2*b.o.Hold+d {
+				continue
+			}
+		}
+		asks = append(asks, s)
+	}
+	b.ask(asks)
+}
+
+func (b *Board) ask(ss []*shard) {
+	if len(ss) == 0 {
+		return
+	}
+	now := b.now()
+	q := &trunk.AskReq{}
+	for _, s := range ss {
+		e := max(s.promised, s.asked, s.epoch) + 1
+		s.role, s.since, s.asked = asking, now, e
+		s.promised, s.promisedBy, s.pledgedAt = e, b.me.Id, now
+		s.heldUntil = 0
+		s.oks = map[string]bool{}
+		s.best, s.bestAt, s.bestSt = nil, s.epoch, s.stamp
+		q.Asks = append(q.Asks, &trunk.Ask{Shard: uint32(s.ix), Epoch: e, HaveEpoch: s.epoch, HaveStamp: s.stamp})
+		b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: uint32(s.ix), Epoch: e, By: b.me.Id}}, func(err error) {
+			if err != nil {
+				if s.role == asking && s.asked == e {
+					b.depose(s, e, "own promise not synced")
+				}
+				return
+			}
+			b.pledged(s, e, b.me.Id)
+		})
+	}
+	for _, p := range b.peers {
+		q := &trunk.AskReq{Head: b.head(p.m.Id), Asks: q.Asks}
+		p := p
+		roll := b.roll.Stamp
+		b.wire.Ask(p.m, q, func(r *trunk.AskResp) {
+			if r == nil || !r.Member {
+				return
+			}
+			if r.Roll != b.roll.Stamp || roll != b.roll.Stamp {
+				b.sawRoll(p.m, r.Roll)
+				return
+			}
+			for _, a := range r.Replies {
+				s := b.shards[a.Shard]
+				if s.role != asking || s.asked != a.Epoch {
+					continue
+				}
+				if !a.Ok {
+					if a.Promised > s.asked {
+						b.depose(s, a.Promised, "promised elsewhere")
+					}
+					continue
+				}
+				if a.State != nil && (a.HaveEpoch > s.bestAt || a.HaveEpoch == s.bestAt && a.HaveStamp > s.bestSt) {
+					s.best, s.bestAt, s.bestSt = a.State, a.HaveEpoch, a.HaveStamp
+				}
+				b.pledged(s, a.Epoch, p.m.Id)
+			}
+		})
+	}
+}
+
+func (b *Board) OnAsk(q *trunk.AskReq, reply func(*trunk.AskResp)) {
+	r := &trunk.AskResp{Roll: b.roll.Stamp, Member: b.member() && q.Head.To == b.me.Id}
+	if !r.Member || q.Head.Roll != b.roll.Stamp || !inRoll(b.roll, q.Head.From.Id) {
+		b.sawRoll(q.Head.From, q.Head.Roll)
+		reply(r)
+		return
+	}
+	if b.diskBad {
+		reply(nil)
+		return
+	}
+	from := q.Head.From.Id
+	now := b.now()
+	left, failed := 1, false
+	fin := func(err error) {
+		failed = failed || err != nil
+		if left--; left > 0 {
+			return
+		}
+		if failed {
+			reply(nil)
+			return
+		}
+		reply(r)
+	}
+	for _, a := range q.Asks {
+		s := b.shards[a.Shard]
+		x := &trunk.AskReply{Shard: a.Shard, Promised: s.promised, Epoch: a.Epoch}
+		r.Replies = append(r.Replies, x)
+		if a.Epoch <= s.promised {
+			continue
+		}
+		if now < s.heldUntil && s.promisedBy != from {
+			continue
+		}
+		if (s.role == owner || s.role == handing) && now < s.lease {
+			continue
+		}
+		b.depose(s, a.Epoch, "promised to another")
+		s.promised, s.promisedBy, s.pledgedAt = a.Epoch, from, now
+		s.heldUntil = max(s.heldUntil, now+b.o.Hold/2)
+		x.Ok, x.Promised = true, a.Epoch
+		x.HaveEpoch, x.HaveStamp = s.epoch, s.stamp
+		if s.epoch > a.HaveEpoch || s.epoch == a.HaveEpoch && s.stamp > a.HaveStamp {
+			x.State = b.dump(s)
+		}
+		left++
+		b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: a.Shard, Epoch: a.Epoch, By: from}}, fin)
+	}
+	fin(nil)
+}
+
+func (b *Board) pledged(s *shard, e uint64, id string) {
+	if s.role != asking || s.asked != e {
+		return
+	}
+	s.oks[id] = true
+	n := 0
+	for _, m := range b.roll.Members {
+		if s.oks[m.Id] {
+			n++
+		}
+	}
+	if n < b.majority() || !s.oks[b.me.Id] {
+		return
+	}
+	st := s.best
+	if st == nil {
+		st = b.dump(s)
+	}
+	s.role, s.since = owner, b.now()
+	s.serving, s.lease, s.commit, s.settled = false, 0, 0, 0
+	s.tails, s.best, s.oks = nil, nil, nil
+	s.base = st.Stamp
+	b.install(s, st, e, func(err error) {
+		if err != nil {
+			b.depose(s, e, "own copy not synced")
+			return
+		}
+		b.advance(s)
+	})
+	s.table.Lead()
+	for _, p := range b.peers {
+		b.push(p)
+	}
+}
+
+// Handing over: the owner stops taking calls, lets the successor catch up, and
+// names it to all.
+func (b *Board) maybeHand(s *shard) {
+	now := b.now()
+	if !s.serving {
+		return
+	}
+	if b.leaving || b.diskBad {
+		for k := 0; k < len(b.roll.Members); k++ {
+			for _, m := range b.roll.Members {
+				if m.Id != b.me.Id && b.order(s.ix, m.Id) == k && b.ready(m.Id) {
+					b.hand(s, m.Id)
+					return
+				}
+			}
+		}
+		return
+	}
+	f := b.first1(s.ix)
+	if f == "" || f == b.me.Id || now-s.since < 4*b.o.Hold {
+		return
+	}
+	p := b.peers[f]
+	if now-p.soundAt < 3*b.o.Hold || p.known[s.ix] != s.epoch || p.acked[s.ix]+8 < s.stamp {
+		return
+	}
+	for _, x := range b.shards {
+		if x.role == handing {
+			return
+		}
+	}
+	b.hand(s, f)
+}
+
+func (b *Board) hand(s *shard, to string) {
+	s.role, s.succ, s.since = handing, to, b.now()
+	b.finishHand(s)
+}
+
+func (b *Board) finishHand(s *shard) {
+	p := b.peers[s.succ]
+	if p == nil || s.commit < s.stamp || p.known[s.ix] != s.epoch || p.acked[s.ix] < s.stamp {
+		return
+	}
+	b.release(s)
+	if len(s.waits) > 0 {
+		return
+	}
+	b.note("shard %d: handed to %s at epoch %d", s.ix, s.succ, s.epoch)
+	q := &trunk.HandReq{Marks: []*trunk.Mark{{Shard: uint32(s.ix), Epoch: s.epoch}}, Successor: s.succ}
+	succ := s.succ
+	b.depose(s, s.epoch, "handed over")
+	s.heldUntil, s.retryAt = 0, b.now()+2*b.o.Hold
+	for _, x := range b.peers {
+		q := &trunk.HandReq{Marks: q.Marks, Successor: succ, Head: b.head(x.m.Id)}
+		b.wire.Hand(x.m, q, func(*trunk.HandResp) {})
+	}
+}
+
+func (b *Board) OnHand(q *trunk.HandReq) *trunk.HandResp {
+	if q.Head.To != b.me.Id || q.Head.Roll != b.roll.Stamp || !b.member() {
+		return &trunk.HandResp{}
+	}
+	var ss []*shard
+	for _, m := range q.Marks {
+		s := b.shards[m.Shard]
+		if s.promised != m.Epoch || s.promisedBy != q.Head.From.Id {
+			continue
+		}
+		s.heldUntil = 0
+		if q.Successor == b.me.Id {
+			if s.role == idle && !b.diskBad {
+				ss = append(ss, s)
+			}
+		} else {
+			s.retryAt = b.now() + b.o.Hold
+		}
+	}
+	b.ask(ss)
+	return &trunk.HandResp{Ok: true}
+}
+
+// Leave starts handing over all that this member owns.
+func (b *Board) Leave() { b.leaving = true }
+
+func (b *Board) Idle() bool {
+	for _, s := range b.shards {
+		if s.role == owner || s.role == handing {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/numbering/service.go
@@ -0,0 +1,160 @@
+package numbering
+
+import (
+	"context"
+	"hash/fnv"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"corkcove/internal/exchange"
+	"corkcove/internal/trunk"
+)
+
+var Error = errs.Class("numbering")
+
+type watcher struct {
+	group string
+	after uint64
+	done  bool
+	cb    func(Events, error)
+}
+
+// Service serves locks, numbers, cells and watches from the shards that this
+// process owns. The watchers belong to the board's goroutine.
+type Service struct {
+	Loop   *exchange.Loop
+	Board  *exchange.Board
+	Shards int
+
+	watchers map[int][]*watcher
+}
+
+func NewService(l *exchange.Loop, shards int) *Service {
+	return &Service{Loop: l, Shards: shards, watchers: map[int][]*watcher{}}
+}
+
+func (s *Service) Shard(name string) int {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return 1 + int(h.Sum32())%(s.Shards-1)
+}
+
+type out[R any] struct {
+	r   R
+	err error
+}
+
+// Run calls f on the shard's table; its answer comes back once it is safe.
+func Run[R any](ctx context.Context, s *Service, shard int, f func(t *Table, now time.Duration) (*trunk.Change, R)) (R, error) {
+	o, ok := exchange.Later(ctx, s.Loop, func(reply func(out[R])) {
+		var r R
+		s.Board.Do(shard, func(t exchange.Table, now time.Duration) (c *trunk.Change) {
+			c, r = f(t.(*Table), now)
+			return c
+		}, func(err error) { reply(out[R]{r, err}) })
+	})
+	if !ok {
+		var r R
+		return r, exchange.ErrUnsure
+	}
+	return o.r, o.err
+}
+
+func (s *Service) Take(ctx context.Context, name, holder string, hold time.Duration) (Grant, error) {
+	return Run(ctx, s, s.Shard(name), func(t *Table, now time.Duration) (*trunk.Change, Grant) { return t.Take(name, holder, hold, now) })
+}
+
+func (s *Service) Renew(ctx context.Context, name, holder string, fence uint64, hold time.Duration) (Grant, error) {
+	return Run(ctx, s, s.Shard(name), func(t *Table, now time.Duration) (*trunk.Change, Grant) {
+		return t.Renew(name, holder, fence, hold, now)
+	})
+}
+
+func (s *Service) Release(ctx context.Context, name, holder string, fence uint64) (Grant, error) {
+	return Run(ctx, s, s.Shard(name), func(t *Table, _ time.Duration) (*trunk.Change, Grant) { return t.Release(name, holder, fence) })
+}
+
+func (s *Service) Next(ctx context.Context, name string) (uint64, error) {
+	return Run(ctx, s, s.Shard(name), func(t *Table, _ time.Duration) (*trunk.Change, uint64) { return t.Next(name) })
+}
+
+func (s *Service) Put(ctx context.Context, name, payload string, on *uint64) (Cell, error) {
+	return Run(ctx, s, s.Shard(GroupOf(name)), func(t *Table, now time.Duration) (*trunk.Change, Cell) { return t.Put(name, payload, on, now) })
+}
+
+func (s *Service) Get(ctx context.Context, name string) (Cell, error) {
+	return Run(ctx, s, s.Shard(GroupOf(name)), func(t *Table, _ time.Duration) (*trunk.Change, Cell) { return nil, t.Get(name) })
+}
+
+func (s *Service) since(ctx context.Context, group string, after uint64) (Events, error) {
+	return Run(ctx, s, s.Shard(group), func(t *Table, _ time.Duration) (*trunk.Change, Events) { return nil, t.Since(group, after) })
+}
+
+// Watch answers as soon as the group has an event above after, or with none
+// once wait is over.
+func (s *Service) Watch(ctx context.Context, group string, after uint64, wait time.Duration) (Events, error) {
+	e, err := s.since(ctx, group, after)
+	if err != nil || e.Outcome != Waiting || wait <= 0 {
+		return e, err
+	}
+	sh := s.Shard(group)
+	w := &watcher{group: group, after: after}
+	wctx, stop := context.WithTimeout(ctx, wait)
+	defer stop()
+	o, ok := exchange.Later(wctx, s.Loop, func(reply func(out[Events])) {
+		w.cb = func(e Events, err error) { reply(out[Events]{e, err}) }
+		s.watchers[sh] = append(s.watchers[sh], w)
+		s.ring(sh, w)
+	})
+	if ok {
+		return o.r, o.err
+	}
+	s.Loop.Put(func() { s.drop(sh, w) })
+	return s.since(ctx, group, after)
+}
+
+func (s *Service) drop(sh int, w *watcher) {
+	w.done = true
+	ws := s.watchers[sh]
+	for i, x := range ws {
+		if x == w {
+			s.watchers[sh] = append(append([]*watcher(nil), ws[:i]...), ws[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *Service) ring(sh int, w *watcher) {
+	if w.done {
+		return
+	}
+	t := s.Board.Table(sh).(*Table)
+	if t.Since(w.group, w.after).Outcome == Waiting {
+		return
+	}
+	s.drop(sh, w)
+	var e Events
+	s.Board.Do(sh, func(t exchange.Table, _ time.Duration) *trunk.Change {
+		e = t.(*Table).Since(w.group, w.after)
+		return nil
+	}, func(err error) { w.cb(e, err) })
+}
+
+// Committed and Moved are called on the board's goroutine.
+func (s *Service) Committed(sh int) {
+	for _, w := range append([]*watcher(nil), s.watchers[sh]...) {
+		s.ring(sh, w)
+	}
+}
+
+func (s *Service) Moved(sh int) {
+	ws := s.watchers[sh]
+	delete(s.watchers, sh)
+	for _, w := range ws {
+		if !w.done {
+			w.done = true
+			w.cb(Events{}, exchange.ErrElsewhere)
+		}
+	}
+}
--- /dev/null
+++ b/internal/numbering/table.go
@@ -0,0 +1,303 @@
+package numbering
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"corkcove/internal/trunk"
+)
+
+const block = 64
+
+type lock struct {
+	holder string
+	fence  uint64
+	hold   time.Duration
+	until  time.Duration
+}
+
+type event struct {
+	put *trunk.Put
+	at  time.Duration
+}
+
+type group struct {
+	rev   uint64
+	floor uint64
+	cells map[string]*trunk.Put
+	past  []event
+}
+
+// Table is one shard's content. Only the goroutine that owns the shard's
+// mailbox touches it.
+type Table struct {
+	keep   time.Duration
+	fences uint64
+	locks  map[string]lock
+	nums   map[string]uint64
+	given  map[string]uint64
+	groups map[string]*group
+	blobs  map[string]*trunk.Blob
+}
+
+func NewTable(history time.Duration) *Table {
+	t := &Table{keep: history*3/2 + 5*time.Second}
+	t.clear()
+	return t
+}
+
+func (t *Table) clear() {
+	t.fences = 0
+	t.locks = map[string]lock{}
+	t.nums = map[string]uint64{}
+	t.given = map[string]uint64{}
+	t.groups = map[string]*group{}
+	t.blobs = map[string]*trunk.Blob{}
+}
+
+func GroupOf(key string) string {
+	if i := strings.IndexByte(key, '.'); i >= 0 {
+		return key[:i+1]
+	}
+	return key
+}
+
+func (t *Table) group(n string) *group {
+	g := t.groups[n]
+	if g == nil {
+		g = &group{cells: map[string]*trunk.Put{}}
+		t.groups[n] = g
+	}
+	return g
+}
+
+func (t *Table) Apply(c *trunk.Change, now time.Duration) {
+	if l := c.GetLock(); l != nil {
+		t.fences = max(t.fences, l.Fence)
+		if l.Free {
+			delete(t.locks, l.Name)
+		} else {
+			h := time.Duration(l.HoldMs) * time.Millisecond
+			u := now + h
+			if o, ok := t.locks[l.Name]; ok && o.fence == l.Fence {
+				u = max(u, o.until)
+			}
+			t.locks[l.Name] = lock{l.Holder, l.Fence, h, u}
+		}
+	}
+	if n := c.GetNumber(); n != nil {
+		t.nums[n.Name] = max(t.nums[n.Name], n.High)
+	}
+	if p := c.GetPut(); p != nil {
+		g := t.group(GroupOf(p.Name))
+		g.rev = max(g.rev, p.Revision)
+		g.cells[p.Name] = p
+		g.past = append(g.past, event{p, now})
+		t.prune(g, now)
+	}
+	if b := c.GetBlob(); b != nil {
+		t.blobs[b.Name] = b
+	}
+}
+
+func (t *Table) prune(g *group, now time.Duration) {
+	n := 0
+	for n < len(g.past) && now-g.past[n].at > t.keep {
+		g.floor = g.past[n].put.Revision
+		n++
+	}
+	if n > 0 {
+		g.past = append([]event(nil), g.past[n:]...)
+	}
+}
+
+// Lead is called when this process comes to own the shard: numbers reserved
+// by an earlier owner are passed over.
+func (t *Table) Lead() { t.given = map[string]uint64{} }
+
+func ms(d time.Duration) uint64 { return uint64(max(d, 0) / time.Millisecond) }
+
+func (t *Table) Dump(now time.Duration) *trunk.ShardState {
+	s := &trunk.ShardState{Fences: t.fences}
+	for n, l := range t.locks {
+		s.Locks = append(s.Locks, &trunk.Lock{Name: n, Holder: l.holder, Fence: l.fence, HoldMs: ms(l.hold), AgeMs: ms(now - (l.until - l.hold))})
+	}
+	for n, h := range t.nums {
+		s.Numbers = append(s.Numbers, &trunk.Number{Name: n, High: h})
+	}
+	for n, g := range t.groups {
+		o := &trunk.Group{Name: n, Revision: g.rev, Floor: g.floor}
+		for _, p := range g.cells {
+			o.Cells = append(o.Cells, p)
+		}
+		for _, e := range g.past {
+			o.History = append(o.History, &trunk.Put{Name: e.put.Name, Payload: e.put.Payload, Revision: e.put.Revision, AgeMs: ms(now - e.at)})
+		}
+		s.Groups = append(s.Groups, o)
+	}
+	for _, b := range t.blobs {
+		s.Blobs = append(s.Blobs, b)
+	}
+	sort.Slice(s.Locks, func(i, j int) bool { return s.Locks[i].Name < s.Locks[j].Name })
+	sort.Slice(s.Numbers, func(i, j int) bool { return s.Numbers[i].Name < s.Numbers[j].Name })
+	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Name < s.Groups[j].Name })
+	sort.Slice(s.Blobs, func(i, j int) bool { return s.Blobs[i].Name < s.Blobs[j].Name })
+	return s
+}
+
+// Load replaces the content. Ages are honoured when the state came straight
+// from another process; fresh restarts every hold and the history's age, as
+// after a read from disk.
+func (t *Table) Load(s *trunk.ShardState, now time.Duration, fresh bool) {
+	t.clear()
+	t.fences = s.Fences
+	age := func(v uint64) time.Duration {
+		if fresh {
+			return 0
+		}
+		return time.Duration(v) * time.Millisecond
+	}
+	for _, l := range s.Locks {
+		h := time.Duration(l.HoldMs) * time.Millisecond
+		t.locks[l.Name] = lock{l.Holder, l.Fence, h, now + h - age(l.AgeMs)}
+	}
+	for _, n := range s.Numbers {
+		t.nums[n.Name] = n.High
+	}
+	for _, o := range s.Groups {
+		g := t.group(o.Name)
+		g.rev, g.floor = o.Revision, o.Floor
+		for _, p := range o.Cells {
+			g.cells[p.Name] = p
+		}
+		for _, p := range o.History {
+			g.past = append(g.past, event{&trunk.Put{Name: p.Name, Payload: p.Payload, Revision: p.Revision}, now - age(p.AgeMs)})
+		}
+	}
+	for _, b := range s.Blobs {
+		t.blobs[b.Name] = b
+	}
+}
+
+func (t *Table) Blob(n string) *trunk.Blob { return t.blobs[n] }
+
+type Outcome int
+
+const (
+	Done Outcome = iota
+	Held
+	Lost
+	Moved
+	Absent
+	Gone
+	Waiting
+)
+
+type Grant struct {
+	Outcome Outcome
+	Fence   uint64
+}
+
+func (t *Table) Take(name, holder string, hold, now time.Duration) (*trunk.Change, Grant) {
+	l, ok := t.locks[name]
+	if ok && now < l.until && l.holder != holder {
+		return nil, Grant{Outcome: Held}
+	}
+	f := l.fence
+	if !ok || l.holder != holder || now >= l.until {
+		f = t.fences + 1
+	}
+	return &trunk.Change{Lock: &trunk.Lock{Name: name, Holder: holder, Fence: f, HoldMs: ms(hold)}}, Grant{Done, f}
+}
+
+func (t *Table) Renew(name, holder string, fence uint64, hold, now time.Duration) (*trunk.Change, Grant) {
+	l, ok := t.locks[name]
+	if !ok || l.holder != holder || l.fence != fence || now >= l.until {
+		return nil, Grant{Outcome: Lost}
+	}
+	return &trunk.Change{Lock: &trunk.Lock{Name: name, Holder: holder, Fence: fence, HoldMs: ms(hold)}}, Grant{Done, fence}
+}
+
+func (t *Table) Release(name, holder string, fence uint64) (*trunk.Change, Grant) {
+	l, ok := t.locks[name]
+	if !ok || l.holder != holder || l.fence != fence {
+		return nil, Grant{Outcome: Done}
+	}
+	return &trunk.Change{Lock: &trunk.Lock{Name: name, Holder: holder, Fence: fence, Free: true}}, Grant{Outcome: Done}
+}
+
+func (t *Table) Next(name string) (*trunk.Change, uint64) {
+	h := t.nums[name]
+	n, ok := t.given[name]
+	if !ok {
+		n = h
+	}
+	n++
+	t.given[name] = n
+	if n <= h {
+		return nil, n
+	}
+	return &trunk.Change{Number: &trunk.Number{Name: name, High: n + block - 1}}, n
+}
+
+type Cell struct {
+	Outcome  Outcome
+	Payload  string
+	Revision uint64
+}
+
+func (t *Table) Put(name, payload string, on *uint64, now time.Duration) (*trunk.Change, Cell) {
+	g := t.group(GroupOf(name))
+	cur := g.cells[name]
+	if cur != nil && cur.Payload == payload {
+		return nil, Cell{Outcome: Done, Revision: cur.Revision}
+	}
+	for i := len(g.past) - 1; i >= 0; i-- {
+		if p := g.past[i].put; p.Name == name && p.Payload == payload {
+			return nil, Cell{Outcome: Done, Revision: p.Revision}
+		}
+	}
+	if on != nil && *on != cur.GetRevision() {
+		return nil, Cell{Outcome: Moved, Revision: cur.GetRevision()}
+	}
+	r := g.rev + 1
+	return &trunk.Change{Put: &trunk.Put{Name: name, Payload: payload, Revision: r}}, Cell{Outcome: Done, Revision: r}
+}
+
+func (t *Table) Get(name string) Cell {
+	g := t.groups[GroupOf(name)]
+	if g == nil || g.cells[name] == nil {
+		return Cell{Outcome: Absent}
+	}
+	p := g.cells[name]
+	return Cell{Done, p.Payload, p.Revision}
+}
+
+type Events struct {
+	Outcome  Outcome
+	Revision uint64
+	List     []*trunk.Put
+}
+
+func (t *Table) Since(name string, after uint64) Events {
+	g := t.groups[name]
+	if g == nil {
+		return Events{Outcome: Waiting}
+	}
+	if after < g.floor && after > 0 {
+		return Events{Outcome: Gone, Revision: g.rev}
+	}
+	e := Events{Outcome: Waiting, Revision: g.rev}
+	if after == 0 {
+		e.Outcome = Done
+		return e
+	}
+	for _, p := range g.past {
+		if p.put.Revision > after {
+			e.List = append(e.List, p.put)
+			e.Outcome = Done
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/subscriber/subscriber.go
@@ -0,0 +1,352 @@
+// Package subscriber knows the endpoint beside this node: its life, its beats,
+// its drain, and how many requests it may be given at once.
+package subscriber
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+var Error = errs.Class("subscriber")
+
+type Reason string
+
+const (
+	None     Reason = ""
+	NoLife   Reason = "no-life"
+	Other    Reason = "other-life"
+	Leaving  Reason = "draining"
+	Unsound  Reason = "unsound"
+	Full     Reason = "full"
+	Late     Reason = "late"
+	Stopping Reason = "stopping"
+	Quit     Reason = "gave-up"
+)
+
+type Beat struct {
+	ID      string
+	Service string
+	Addr    string
+	Site    string
+	Release string
+	Slots   int
+	State   string
+	Cold    time.Duration
+	Seq     uint64
+}
+
+// Life is what other nodes are told about the endpoint.
+type Life struct {
+	Beat
+	Sound bool
+	Known bool
+}
+
+type Load struct {
+	Running int
+	Queued  int
+	Slots   int
+	Work    time.Duration
+}
+
+type Options struct {
+	Service string
+	Beat    time.Duration
+	Missed  float64
+	Queue   float64
+	Now     func() time.Time
+	Note    func(f string, a ...any)
+	Changed func(Life)
+}
+
+type seat struct {
+	rank int
+	due  time.Time
+	ch   chan Reason
+	ix   int
+}
+
+type line []*seat
+
+func (l line) Len() int { return len(l) }
+func (l line) Less(i, j int) bool {
+	if l[i].rank != l[j].rank {
+		return l[i].rank < l[j].rank
+	}
+	return l[i].due.Before(l[j].due)
+}
+func (l line) Swap(i, j int) { l[i], l[j] = l[j], l[i]; l[i].ix, l[j].ix = i, j }
+func (l *line) Push(x any)   { s := x.(*seat); s.ix = len(*l); *l = append(*l, s) }
+func (l *line) Pop() any {
+	o := *l
+	s := o[len(o)-1]
+	*l = o[:len(o)-1]
+	s.ix = -1
+	return s
+}
+
+// Desk is guarded by one short lock; nothing blocks while it is held.
+type Desk struct {
+	o      Options
+	mu     sync.Mutex
+	life   Life
+	dead   map[string]uint64
+	last   time.Time
+	coldTo time.Time
+	stop   bool
+	run    int
+	wait   line
+	work   time.Duration
+	fails  int
+}
+
+func New(o Options) *Desk {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return &Desk{o: o, dead: map[string]uint64{}, work: 50 * time.Millisecond}
+}
+
+func (d *Desk) changed(was Life) func() {
+	l := d.life
+	if l.ID == was.ID && l.State == was.State && l.Sound == was.Sound && l.Slots == was.Slots && l.Known == was.Known &&
+		(l.Cold > 0) == (was.Cold > 0) {
+		return func() {}
+	}
+	d.o.Note("endpoint %s: %s sound=%v slots=%d cold=%v (was %s %s sound=%v)", l.ID, l.State, l.Sound, l.Slots, l.Cold, was.ID, was.State, was.Sound)
+	return func() { d.o.Changed(l) }
+}
+
+// Beat takes an endpoint's own word. False means that the call was late or of
+// a life that has ended.
+func (d *Desk) Beat(b Beat) bool {
+	d.mu.Lock()
+	was := d.life
+	if n, ok := d.dead[b.ID]; ok && b.Seq <= n || b.ID == was.ID && was.Known && b.Seq != 0 && b.Seq <= was.Seq {
+		d.mu.Unlock()
+		return false
+	}
+	if was.Known && was.ID != "" && was.ID != b.ID {
+		d.dead[was.ID] = 1 << 62
+		if _, ok := d.dead[b.ID]; ok {
+			d.mu.Unlock()
+			return false
+		}
+		d.flush(Other)
+		d.run = 0
+	}
+	if was.ID == b.ID && was.State == "draining" && b.State == "ready" {
+		b.State = "draining"
+	}
+	d.life = Life{Beat: b, Sound: true, Known: true}
+	d.last = d.o.Now()
+	d.coldTo = d.last.Add(b.Cold)
+	if was.ID != b.ID || !was.Sound {
+		d.fails = 0
+	}
+	if b.State != "ready" {
+		d.flush(Leaving)
+	}
+	d.fill()
+	f := d.changed(was)
+	d.mu.Unlock()
+	f()
+	return true
+}
+
+func (d *Desk) Leave(id string) {
+	d.mu.Lock()
+	was := d.life
+	d.dead[id] = 1 << 62
+	if d.life.ID == id {
+		d.life.State = "gone"
+		d.flush(Leaving)
+	}
+	f := d.changed(was)
+	d.mu.Unlock()
+	f()
+}
+
+// Found notes an endpoint that answered a probe before its first beat.
+func (d *Desk) Found(id string, slots int) {
+	d.mu.Lock()
+	was := d.life
+	if was.Known || id == "" || d.dead[id] > 0 {
+		d.mu.Unlock()
+		return
+	}
+	d.life = Life{Beat: Beat{ID: id, Service: d.o.Service, Slots: slots, State: "ready"}, Sound: true, Known: true}
+	d.last = d.o.Now()
+	f := d.changed(was)
+	d.mu.Unlock()
+	f()
+}
+
+func (d *Desk) Stop() {
+	d.mu.Lock()
+	d.stop = true
+	d.flush(Stopping)
+	d.mu.Unlock()
+}
+
+// Tick marks an endpoint whose beats stay out.
+func (d *Desk) Tick() {
+	d.mu.Lock()
+	was := d.life
+	now := d.o.Now()
+	if d.life.Known && d.life.Sound && now.Sub(d.last) > time.Duration(d.o.Missed*float64(d.o.Beat)) {
+		d.life.Sound = false
+		d.flush(Unsound)
+	}
+	if d.life.Cold > 0 && now.After(d.coldTo) {
+		d.life.Cold = 0
+	}
+	f := d.changed(was)
+	d.mu.Unlock()
+	f()
+}
+
+// Refused notes that the endpoint's address took no connection.
+func (d *Desk) Refused(id string) {
+	d.mu.Lock()
+	was := d.life
+	if d.life.ID == id {
+		d.fails++
+		if d.fails >= 2 && d.life.Sound {
+			d.life.Sound = false
+			d.flush(Unsound)
+		}
+	}
+	f := d.changed(was)
+	d.mu.Unlock()
+	f()
+}
+
+// Answered notes that the endpoint answered something.
+func (d *Desk) Answered(id string, took time.Duration) {
+	d.mu.Lock()
+	was := d.life
+	if d.life.ID == id {
+		d.fails = 0
+		d.last = d.o.Now()
+		if took > 0 {
+			d.work += (took - d.work) / 16
+		}
+	}
+	f := d.changed(was)
+	d.mu.Unlock()
+	f()
+}
+
+func (d *Desk) Life() Life {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.life
+}
+
+func (d *Desk) Load() Load {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Load{d.run, len(d.wait), max(d.life.Slots, 1), d.work}
+}
+
+func (d *Desk) flush(r Reason) {
+	for len(d.wait) > 0 {
+		heap.Pop(&d.wait).(*seat).ch <- r
+	}
+}
+
+func (d *Desk) open(id string) Reason {
+	switch {
+	case d.stop:
+		return Stopping
+	case !d.life.Known:
+		return NoLife
+	case d.life.ID != id:
+		return Other
+	case d.life.State != "ready":
+		return Leaving
+	case !d.life.Sound:
+		return Unsound
+	}
+	return None
+}
+
+func (d *Desk) fill() {
+	for len(d.wait) > 0 && d.run < d.life.Slots {
+		s := heap.Pop(&d.wait).(*seat)
+		d.run++
+		s.ch <- None
+	}
+}
+
+// Admit waits for a slot by rank and deadline. With None the caller holds a
+// slot of the life id and must call the release it gets.
+func (d *Desk) Admit(ctx context.Context, id string, rank int, due time.Time, most time.Duration) (func(), Reason) {
+	d.mu.Lock()
+	if r := d.open(id); r != None {
+		d.mu.Unlock()
+		return nil, r
+	}
+	if d.run < d.life.Slots && len(d.wait) == 0 {
+		d.run++
+		d.mu.Unlock()
+		return d.releaser(id), None
+	}
+	now := d.o.Now()
+	ahead := 1
+	for _, s := range d.wait {
+		if s.rank <= rank {
+			ahead++
+		}
+	}
+	est := d.work * time.Duration(ahead) / time.Duration(max(d.life.Slots, 1))
+	if est > most || now.Add(est+d.work/2).After(due) || len(d.wait) >= int(d.o.Queue*float64(d.life.Slots))+2 {
+		d.mu.Unlock()
+		return nil, Full
+	}
+	s := &seat{rank: rank, due: due, ch: make(chan Reason, 1)}
+	heap.Push(&d.wait, s)
+	d.mu.Unlock()
+	t := time.NewTimer(due.Sub(now))
+	defer t.Stop()
+	r := Quit
+	select {
+	case r := <-s.ch:
+		if r == None {
+			return d.releaser(id), None
+		}
+		return nil, r
+	case <-t.C:
+		r = Late
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	if s.ix >= 0 {
+		heap.Remove(&d.wait, s.ix)
+		d.mu.Unlock()
+		return nil, r
+	}
+	d.mu.Unlock()
+	if x := <-s.ch; x == None {
+		d.releaser(id)()
+	}
+	return nil, r
+}
+
+func (d *Desk) releaser(id string) func() {
+	return func() {
+		d.mu.Lock()
+		if d.life.ID == id && d.run > 0 {
+			d.run--
+			if d.open(id) == None {
+				d.fill()
+			}
+		}
+		d.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/supervisor/agent.go
@@ -0,0 +1,274 @@
+package supervisor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/trunk"
+)
+
+// Agent is a node's side: it answers polls, takes views and configurations
+// whose epoch and stamp rise, and says hello while no master polls it.
+type Agent struct {
+	Lines  *trunk.Lines
+	Seeds  []string
+	Life   string
+	Name   string
+	Quiet  time.Duration
+	Now    func() time.Duration
+	Note   func(f string, a ...any)
+	Trace  func(step string, epoch, stamp uint64, detail string)
+	OnView func(*trunk.View)
+	// OnConfig applies a configuration; an error leaves the old one in force.
+	OnConfig func(stamp uint64, data []byte) error
+
+	mu     sync.Mutex
+	node   *trunk.NodeState
+	wake   chan struct{}
+	cut    chan struct{}
+	epoch  uint64
+	view   *trunk.View
+	conf   uint64
+	polled time.Duration
+	cmu    sync.Mutex
+}
+
+func (a *Agent) Start(n *trunk.NodeState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.node = n
+	a.node.Seq = 1
+	a.wake = make(chan struct{})
+	a.polled = -1 << 40
+}
+
+// Set changes the node's own account and answers the lingering poll.
+func (a *Agent) Set(f func(*trunk.NodeState)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := proto.Clone(a.node).(*trunk.NodeState)
+	f(n)
+	if proto.Equal(n, a.node) {
+		return
+	}
+	n.Seq++
+	a.node = n
+	close(a.wake)
+	a.wake = make(chan struct{})
+}
+
+func (a *Agent) fence(epoch uint64) bool {
+	if epoch < a.epoch {
+		return false
+	}
+	a.epoch = epoch
+	return true
+}
+
+func (a *Agent) Poll(ctx context.Context, q *trunk.PollReq) (*trunk.PollResp, error) {
+	a.mu.Lock()
+	if q.Name != a.Name || !a.fence(q.Epoch) {
+		r := &trunk.PollResp{Stale: true, Epoch: a.epoch}
+		a.mu.Unlock()
+		return r, nil
+	}
+	a.polled = a.Now()
+	if a.cut != nil {
+		close(a.cut)
+	}
+	c := make(chan struct{})
+	a.cut = c
+	n, w := a.node, a.wake
+	behind := q.ConfigStamp > a.conf
+	a.mu.Unlock()
+	if behind {
+		go a.fetch(q.Master)
+	}
+	if q.Life == n.Life && q.Seq == n.Seq {
+		t := time.NewTimer(time.Duration(q.LingerMs) * time.Millisecond)
+		defer t.Stop()
+		select {
+		case <-w:
+		case <-c:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cut == c {
+		a.cut = nil
+	}
+	a.polled = a.Now()
+	out := proto.Clone(a.node).(*trunk.NodeState)
+	out.ViewEpoch, out.ViewStamp, out.ConfigStamp = a.view.GetEpoch(), a.view.GetStamp(), a.conf
+	return &trunk.PollResp{Node: out, Epoch: a.epoch}, nil
+}
+
+func (a *Agent) Publish(_ context.Context, q *trunk.ViewReq) (*trunk.ViewResp, error) {
+	return &trunk.ViewResp{Ok: a.take(q.View, q.To)}, nil
+}
+
+func (a *Agent) take(v *trunk.View, to string) bool {
+	if v == nil || to != "" && to != a.Name {
+		return false
+	}
+	a.mu.Lock()
+	if !a.fence(v.Epoch) {
+		a.mu.Unlock()
+		return false
+	}
+	if o := a.view; o != nil && (v.Epoch < o.Epoch || v.Epoch == o.Epoch && v.Stamp <= o.Stamp) {
+		ok := v.Epoch == o.Epoch && v.Stamp == o.Stamp
+		a.mu.Unlock()
+		return ok
+	}
+	a.view = v
+	f := a.OnView
+	a.mu.Unlock()
+	if a.Trace != nil {
+		a.Trace("view applied", v.Epoch, v.Stamp, "")
+	}
+	f(v)
+	return true
+}
+
+func (a *Agent) Deliver(_ context.Context, q *trunk.DeliverReq) (*trunk.DeliverResp, error) {
+	if q.To != "" && q.To != a.Name {
+		return &trunk.DeliverResp{}, nil
+	}
+	ok := a.configure(q.Epoch, q.Stamp, q.Data)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return &trunk.DeliverResp{Ok: ok, Stamp: a.conf}, nil
+}
+
+func (a *Agent) configure(epoch, stamp uint64, data []byte) bool {
+	a.cmu.Lock()
+	defer a.cmu.Unlock()
+	a.mu.Lock()
+	old := a.conf
+	a.mu.Unlock()
+	if stamp <= old {
+		return true
+	}
+	if err := a.OnConfig(stamp, data); err != nil {
+		a.Note("configuration %d from epoch %d can't be applied: %v", stamp, epoch, err)
+		return false
+	}
+	a.mu.Lock()
+	a.conf = stamp
+	a.mu.Unlock()
+	if a.Trace != nil {
+		a.Trace("configuration applied", epoch, stamp, "")
+	}
+	return true
+}
+
+func (a *Agent) fetch(addr string) bool {
+	a.mu.Lock()
+	have := a.conf
+	a.mu.Unlock()
+	r, err := trunk.Call(1500*time.Millisecond, a.Lines.Control(addr).Fetch, &trunk.FetchReq{Have: have})
+	if err != nil || !r.Master {
+		return false
+	}
+	if r.Stamp > have {
+		a.configure(r.Epoch, r.Stamp, r.Data)
+	}
+	if r.View != nil {
+		a.take(r.View, "")
+	}
+	return true
+}
+
+func (a *Agent) Ready() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view != nil && a.conf > 0
+}
+
+func (a *Agent) Master() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view.GetMaster()
+}
+
+func (a *Agent) View() *trunk.View {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view
+}
+
+func (a *Agent) cores() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	seen := map[string]bool{}
+	var out []string
+	add := func(s string) {
+		if s != "" && !seen[s] {
+			seen[s] = true
+			out = append(out, s)
+		}
+	}
+	add(a.view.GetMaster())
+	for _, m := range a.view.GetRoll().GetMembers() {
+		add(m.Addr)
+	}
+	for _, s := range a.Seeds {
+		add(s)
+	}
+	return out
+}
+
+// Run says hello to the core until a master polls this node.
+func (a *Agent) Run(ctx context.Context, gap time.Duration) {
+	t := time.NewTicker(gap)
+	defer t.Stop()
+	for {
+		a.mu.Lock()
+		quiet := a.Now()-a.polled > a.Quiet
+		a.mu.Unlock()
+		if quiet || !a.Ready() {
+			a.hello(ctx)
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (a *Agent) hello(ctx context.Context) {
+	tried := map[string]bool{}
+	todo := a.cores()
+	for len(todo) > 0 && ctx.Err() == nil {
+		c := todo[0]
+		todo = todo[1:]
+		if tried[c] {
+			continue
+		}
+		tried[c] = true
+		a.mu.Lock()
+		n := a.node
+		a.mu.Unlock()
+		r, err := trunk.Call(500*time.Millisecond, a.Lines.Control(c).Hello, &trunk.HelloReq{Node: n})
+		if err != nil {
+			continue
+		}
+		if r.Master {
+			a.fetch(c)
+			return
+		}
+		if r.MasterAddr != "" {
+			todo = append([]string{r.MasterAddr}, todo...)
+		}
+		for _, m := range r.Roll.GetMembers() {
+			todo = append(todo, m.Addr)
+		}
+	}
+}
--- /dev/null
+++ b/internal/supervisor/master.go
@@ -0,0 +1,408 @@
+package supervisor
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/exchange"
+	"corkcove/internal/trunk"
+)
+
+type Store interface {
+	SaveView(ctx context.Context, stamp uint64) error
+}
+
+type Options struct {
+	Interval   time.Duration
+	Settle     time.Duration
+	Transition time.Duration
+	Linger     time.Duration
+	Grace      time.Duration
+	Silent     time.Duration
+	Window     time.Duration
+	Crashes    int
+	Fails      int
+	Me         string
+	Now        func() time.Duration
+	Note       func(f string, a ...any)
+	Trace      func(step string, epoch, stamp uint64, detail string)
+}
+
+func (o Options) rules() rules { return rules{o.Window, o.Crashes, o.Fails, o.Silent} }
+
+// Master runs on its own mailbox; all its fields belong to that goroutine.
+type Master struct {
+	o     Options
+	Loop  *exchange.Loop
+	lines *trunk.Lines
+	store Store
+
+	leading bool
+	epoch   uint64
+	since   time.Duration
+	hs      map[string]*history
+	users   map[string]string
+	polls   map[string]context.CancelFunc
+	roll    *trunk.Roll
+
+	view    *trunk.View
+	inner   []*trunk.Endpoint
+	changed time.Duration
+	made    time.Duration
+	making  bool
+
+	conf  uint64
+	doc   []byte
+	sends map[string]*courier
+}
+
+type courier struct {
+	view  uint64
+	conf  uint64
+	busy  bool
+	cbusy bool
+}
+
+func NewMaster(o Options, l *exchange.Loop, lines *trunk.Lines, st Store) *Master {
+	return &Master{o: o, Loop: l, lines: lines, store: st, hs: map[string]*history{}, users: map[string]string{},
+		polls: map[string]context.CancelFunc{}, view: &trunk.View{}, sends: map[string]*courier{}}
+}
+
+func (m *Master) note(f string, a ...any) {
+	if m.o.Note != nil {
+		m.o.Note(f, a...)
+	}
+}
+
+func (m *Master) trace(step string, stamp uint64, detail string) {
+	if m.o.Trace != nil {
+		m.o.Trace(step, m.epoch, stamp, detail)
+	}
+}
+
+// Lead makes this process the master under the epoch of shard 0.
+func (m *Master) Lead(epoch, viewStamp uint64, users map[string]string, conf uint64, doc []byte, roll *trunk.Roll) {
+	now := m.o.Now()
+	m.note("master under epoch %d, view %d, configuration %d", epoch, viewStamp, conf)
+	m.leading, m.epoch, m.since, m.made, m.changed = true, epoch, now, now, now
+	m.users, m.roll = users, roll
+	v := proto.Clone(m.view).(*trunk.View)
+	v.Stamp = max(v.Stamp, viewStamp)
+	m.view = v
+	m.making = false
+	m.sends = map[string]*courier{}
+	for _, e := range v.Endpoints {
+		if h := m.hs[e.Node]; h == nil {
+			m.hs[e.Node] = &history{state: &trunk.NodeState{Name: e.Node, Addr: "", Inbound: e.Inbound, Endpoint: &trunk.Endpoint{
+				Id: e.Id, Service: e.Service, Addr: e.Addr, Site: e.Site, Slots: e.Slots, State: back(e.State), Sound: true, Release: e.Release}},
+				seen: now, reached: true, endpoint: e.Id}
+		} else {
+			h.seen, h.fails, h.reached = now, 0, true
+		}
+	}
+	for _, l := range v.NodeLines {
+		name, addr := cut(l)
+		h := m.hs[name]
+		if h == nil {
+			h = &history{state: &trunk.NodeState{Name: name}, seen: now}
+			m.hs[name] = h
+		}
+		if h.state.Addr == "" {
+			h.state.Addr = addr
+		}
+		m.poll(name, h.state.Addr)
+	}
+	for n, h := range m.hs {
+		if h.state.Addr != "" {
+			m.poll(n, h.state.Addr)
+		}
+	}
+	m.SetConfig(conf, doc)
+}
+
+func back(s string) string {
+	if s == Up {
+		return "ready"
+	}
+	return s
+}
+
+func cut(l string) (string, string) {
+	for i := range l {
+		if l[i] == ' ' {
+			return l[:i], l[i+1:]
+		}
+	}
+	return l, ""
+}
+
+func (m *Master) Step() {
+	if !m.leading {
+		return
+	}
+	m.note("no longer master under epoch %d", m.epoch)
+	m.leading = false
+	for n, stop := range m.polls {
+		stop()
+		delete(m.polls, n)
+	}
+}
+
+func (m *Master) Leading() bool { return m.leading }
+
+func (m *Master) SetRoll(r *trunk.Roll) { m.roll = r }
+
+func (m *Master) SetUsers(u map[string]string) {
+	for n, s := range u {
+		if s == Up {
+			if h := m.hs[n]; h != nil {
+				h.setOut, h.unproven, h.crashes = false, false, nil
+			}
+		}
+	}
+	m.users = u
+	m.touch()
+}
+
+// SetConfig hands a newly committed configuration to all nodes at once.
+func (m *Master) SetConfig(stamp uint64, doc []byte) {
+	if stamp <= m.conf && stamp != 0 && m.conf != 0 {
+		stamp, doc = m.conf, m.doc
+	}
+	m.conf, m.doc = stamp, doc
+	if !m.leading {
+		return
+	}
+	for n, h := range m.hs {
+		m.deliver(n, h)
+	}
+}
+
+func (m *Master) Config() (uint64, []byte) { return m.conf, m.doc }
+
+// Saw keeps the last view that another master published, for a takeover.
+func (m *Master) Saw(v *trunk.View) bool {
+	if m.leading && v.Epoch <= m.epoch || v.Epoch < m.view.Epoch || v.Epoch == m.view.Epoch && v.Stamp < m.view.Stamp {
+		return false
+	}
+	m.view = v
+	return true
+}
+
+func (m *Master) View() *trunk.View { return m.view }
+
+func (m *Master) Hello(n *trunk.NodeState) bool {
+	if !m.leading {
+		return false
+	}
+	h := m.hs[n.Name]
+	if h == nil {
+		h = &history{}
+		m.hs[n.Name] = h
+	}
+	if h.state == nil || h.state.Life != n.Life || h.state.Addr != n.Addr {
+		h.report(n, m.o.Now(), m.o.rules())
+		delete(m.sends, n.Name)
+		if stop := m.polls[n.Name]; stop != nil {
+			stop()
+			delete(m.polls, n.Name)
+		}
+		m.touch()
+	}
+	m.poll(n.Name, n.Addr)
+	m.follow(n.Name, h)
+	return true
+}
+
+func (m *Master) poll(name, addr string) {
+	if m.polls[name] != nil || addr == "" {
+		return
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	m.polls[name] = stop
+	ep := m.epoch
+	c := m.lines.Node(addr)
+	st := m.hs[name].state
+	life, seq, conf := st.GetLife(), st.GetSeq(), m.conf
+	go func() {
+		for ctx.Err() == nil {
+			cx, cancel := context.WithTimeout(ctx, m.o.Linger+m.o.Grace)
+			r, err := c.Poll(cx, &trunk.PollReq{Epoch: ep, Life: life, Seq: seq, LingerMs: uint64(m.o.Linger / time.Millisecond), ConfigStamp: conf, Master: m.o.Me, Name: name})
+			cancel()
+			if ctx.Err() != nil {
+				return
+			}
+			bad := err != nil || r.GetNode() == nil || r.Stale
+			done := make(chan struct{})
+			m.Loop.Put(func() {
+				defer close(done)
+				if ctx.Err() != nil || !m.leading || m.epoch != ep {
+					return
+				}
+				conf = m.conf
+				h := m.hs[name]
+				if bad {
+					m.missed(name, h)
+					return
+				}
+				m.heard(name, h, r.Node)
+				life, seq = r.Node.Life, r.Node.Seq
+			})
+			select {
+			case <-done:
+			case <-ctx.Done():
+				return
+			}
+			if bad {
+				select {
+				case <-time.After(m.o.Grace / 2):
+				case <-ctx.Done():
+				}
+			}
+		}
+	}()
+}
+
+func (m *Master) heard(name string, h *history, n *trunk.NodeState) {
+	was := h.official(m.users[name])
+	h.report(n, m.o.Now(), m.o.rules())
+	if now := h.official(m.users[name]); now != was {
+		m.note("node %s: endpoint %s %s -> %s (reported %s)", name, n.Endpoint.GetId(), was, now, n.Endpoint.GetState())
+	}
+	m.touch()
+	m.follow(name, h)
+}
+
+func (m *Master) missed(name string, h *history) {
+	was := h.reached
+	h.missed(m.o.Now(), m.o.rules())
+	if was && !h.reached {
+		m.note("node %s: silent after %d polls", name, h.fails)
+		delete(m.sends, name)
+	}
+	if !h.reached && m.o.Now()-h.seen > 10*m.o.Linger {
+		if stop := m.polls[name]; stop != nil {
+			stop()
+			delete(m.polls, name)
+		}
+		delete(m.hs, name)
+	}
+	m.touch()
+}
+
+func (m *Master) touch() {
+	in := compose(m.hs, m.users)
+	if matters(in, m.inner) {
+		m.inner = in
+		m.changed = m.o.Now()
+	}
+}
+
+// Tick makes a new official view once enough time has passed since the last
+// one and the states have settled.
+func (m *Master) Tick() {
+	now := m.o.Now()
+	if !m.leading || m.making || now-m.since < m.o.Transition {
+		return
+	}
+	for n, h := range m.hs {
+		m.follow(n, h)
+	}
+	if now-m.made < m.o.Interval || now-m.changed < m.o.Settle {
+		return
+	}
+	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && m.view.Roll.GetStamp() == m.roll.GetStamp() && len(m.view.NodeLines) == len(m.hs) {
+		return
+	}
+	v := &trunk.View{Epoch: m.epoch, Stamp: m.view.Stamp + 1, Endpoints: m.inner, Roll: m.roll, ConfigStamp: m.conf, Master: m.o.Me}
+	for n, h := range m.hs {
+		v.NodeLines = append(v.NodeLines, n+" "+h.state.GetAddr())
+	}
+	v.Nodes = uint32(len(m.hs))
+	m.making = true
+	ep := m.epoch
+	go func() {
+		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
+		defer stop()
+		err := m.store.SaveView(ctx, v.Stamp)
+		m.Loop.Put(func() {
+			if m.epoch != ep || !m.leading {
+				return
+			}
+			m.making = false
+			if err != nil {
+				m.made = m.o.Now()
+				return
+			}
+			m.publish(v)
+		})
+	}()
+}
+
+func (m *Master) publish(v *trunk.View) {
+	m.view, m.made = v, m.o.Now()
+	m.trace("view published", v.Stamp, "")
+	for n, h := range m.hs {
+		m.follow(n, h)
+	}
+	for _, x := range m.roll.GetMembers() {
+		if x.Addr != m.o.Me {
+			c := m.lines.Node(x.Addr)
+			go trunk.Call(time.Second, c.Publish, &trunk.ViewReq{View: v})
+		}
+	}
+}
+
+func (m *Master) courier(n string) *courier {
+	c := m.sends[n]
+	if c == nil {
+		c = &courier{}
+		m.sends[n] = c
+	}
+	return c
+}
+
+// follow sends a node what it has not yet acknowledged.
+func (m *Master) follow(name string, h *history) {
+	m.deliver(name, h)
+	c := m.courier(name)
+	if m.view.Epoch != m.epoch || c.busy || c.view >= m.view.Stamp || h.state.GetAddr() == "" {
+		return
+	}
+	c.busy = true
+	v := m.view
+	n := m.lines.Node(h.state.Addr)
+	go func() {
+		r, err := trunk.Call(time.Second, n.Publish, &trunk.ViewReq{View: v, To: name})
+		m.Loop.Put(func() {
+			c.busy = false
+			if err == nil && r.Ok {
+				c.view = v.Stamp
+			}
+		})
+	}()
+}
+
+func (m *Master) deliver(name string, h *history) {
+	c := m.courier(name)
+	if c.cbusy || m.conf == 0 || c.conf >= m.conf || h.state.GetAddr() == "" {
+		return
+	}
+	c.cbusy = true
+	q := &trunk.DeliverReq{Epoch: m.epoch, Stamp: m.conf, Data: m.doc, To: name}
+	n := m.lines.Node(h.state.Addr)
+	go func() {
+		r, err := trunk.Call(time.Second, n.Deliver, q)
+		m.Loop.Put(func() {
+			c.cbusy = false
+			if err == nil && r.Ok {
+				c.conf = max(c.conf, r.Stamp)
+				if m.leading {
+					m.deliver(name, h)
+				}
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/internal/supervisor/merge.go
@@ -0,0 +1,149 @@
+// Package supervisor is the cluster controller: it gathers node states, merges
+// them with what it remembers, and broadcasts a stamped view.
+package supervisor
+
+import (
+	"sort"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"corkcove/internal/trunk"
+)
+
+var Error = errs.Class("supervisor")
+
+const (
+	Up          = "up"
+	Draining    = "draining"
+	Down        = "down"
+	Maintenance = "maintenance"
+	Retired     = "retired"
+)
+
+var caps = map[string]int{Down: 0, Maintenance: 0, Retired: 1, Draining: 1, Up: 2}
+
+// history is what the master remembers of one node beside its last report.
+type history struct {
+	state    *trunk.NodeState
+	seen     time.Duration
+	fails    int
+	reached  bool
+	endpoint string
+	cold     bool
+	crashes  []time.Duration
+	unproven bool
+	setOut   bool
+}
+
+type rules struct {
+	window time.Duration
+	limit  int
+	fails  int
+	silent time.Duration
+}
+
+// report merges a node's own account into its history.
+func (h *history) report(n *trunk.NodeState, now time.Duration, r rules) {
+	id := n.Endpoint.GetId()
+	if id != "" && h.endpoint != "" && id != h.endpoint {
+		h.lost(now, r)
+	}
+	if id != "" {
+		h.endpoint = id
+		h.cold = n.Endpoint.ColdMs > 0
+		if !h.cold && n.Endpoint.Sound {
+			h.unproven = false
+		}
+	}
+	if e := n.Endpoint; e != nil && (e.State == Draining || e.State == "gone") {
+		h.endpoint, h.cold = "", false
+	}
+	h.state, h.seen, h.fails, h.reached = n, now, 0, true
+}
+
+// lost notes that an endpoint ended without signing off.
+func (h *history) lost(now time.Duration, r rules) {
+	if h.cold {
+		h.unproven = true
+	}
+	h.endpoint, h.cold = "", false
+	keep := h.crashes[:0]
+	for _, t := range h.crashes {
+		if now-t < r.window {
+			keep = append(keep, t)
+		}
+	}
+	h.crashes = append(keep, now)
+	if len(h.crashes) >= r.limit {
+		h.setOut = true
+	}
+}
+
+func (h *history) missed(now time.Duration, r rules) {
+	h.fails++
+	if h.fails >= r.fails && now-h.seen >= r.silent {
+		h.reached = false
+	}
+}
+
+// official is the state that the view gives a node's endpoint: what was
+// reported, lowered by history, capped by the user state.
+func (h *history) official(user string) string {
+	e := h.state.GetEndpoint()
+	if e == nil || e.Id == "" || !h.reached {
+		return Down
+	}
+	s := Down
+	switch {
+	case h.state.State == "stopping":
+		s = Draining
+	case e.State == Draining:
+		s = Draining
+	case e.State == "ready" && e.Sound:
+		s = Up
+	}
+	if h.setOut || h.unproven {
+		s = Down
+	}
+	if c, ok := caps[user]; ok && caps[s] > c {
+		s = user
+	}
+	if s == Maintenance {
+		s = Down
+	}
+	if s == Retired {
+		s = Draining
+	}
+	return s
+}
+
+func compose(hs map[string]*history, users map[string]string) []*trunk.Endpoint {
+	var out []*trunk.Endpoint
+	for n, h := range hs {
+		s := h.official(users[n])
+		if s == Down {
+			continue
+		}
+		e := h.state.Endpoint
+		out = append(out, &trunk.Endpoint{Id: e.Id, Service: e.Service, Addr: e.Addr, Site: e.Site, Slots: e.Slots, State: s,
+			ColdMs: e.ColdMs, Release: e.Release, Node: n, Inbound: h.state.Inbound, Sound: e.Sound})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
+	return out
+}
+
+// matters tells whether the nodes would act on the difference.
+func matters(a, b []*trunk.Endpoint) bool {
+	if len(a) != len(b) {
+		return true
+	}
+	for i := range a {
+		x, y := a[i], b[i]
+		if x.Id != y.Id || x.State != y.State || x.Slots != y.Slots || x.Inbound != y.Inbound || x.Service != y.Service ||
+			(x.ColdMs > 0) != (y.ColdMs > 0) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/switchboard/common.go
@@ -0,0 +1,166 @@
+// Package switchboard carries requests: from a user agent to the outbound node,
+// to the inbound node beside an endpoint, to that endpoint.
+package switchboard
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+var Error = errs.Class("switchboard")
+
+const (
+	hdrID       = "X-Request-Id"
+	hdrDeadline = "X-Deadline-Ms"
+	hdrSeal     = "X-Server-Seal"
+	hdrExpect   = "X-Expect-Instance"
+	hdrNotRun   = "X-Not-Run"
+	hdrCaller   = "X-Caller-Service"
+
+	ownPrefix  = "X-Corkcove-"
+	hdrOutcome = "X-Corkcove-Outcome"
+	hdrReason  = "X-Corkcove-Reason"
+	hdrLoad    = "X-Corkcove-Load"
+	hdrRank    = "X-Corkcove-Rank"
+	hdrKind    = "X-Corkcove-Kind"
+	hdrLife    = "X-Corkcove-Life"
+)
+
+// What an inbound node says of a dispatch that brought no answer.
+const (
+	sayBounced = "bounced"
+	sayRefused = "refused"
+	sayTurned  = "turned"
+	sayLost    = "lost"
+	sayLate    = "late"
+)
+
+var hop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Proxy-Authenticate": true,
+	"Proxy-Authorization": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+}
+
+func named(h http.Header) map[string]bool {
+	var m map[string]bool
+	for _, v := range h["Connection"] {
+		for _, n := range strings.Split(v, ",") {
+			if n = textproto.TrimString(n); n != "" {
+				if m == nil {
+					m = map[string]bool{}
+				}
+				m[textproto.CanonicalMIMEHeaderKey(n)] = true
+			}
+		}
+	}
+	return m
+}
+
+// pass copies the headers that concern more than one stream.
+func pass(to, from http.Header, own bool) {
+	nm := named(from)
+	for k, vs := range from {
+		if hop[k] || nm[k] || !own && strings.HasPrefix(k, ownPrefix) {
+			continue
+		}
+		to[k] = vs
+	}
+}
+
+// target keeps the request's target byte for byte.
+func target(host, raw string) *url.URL {
+	if strings.HasPrefix(raw, "//") {
+		if u, err := url.ParseRequestURI("http://" + host + raw); err == nil {
+			return u
+		}
+	}
+	return &url.URL{Scheme: "http", Host: host, Opaque: raw}
+}
+
+// once is a body that net/http can't send a second time by itself.
+type once struct{ io.Reader }
+
+func (once) Close() error { return nil }
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+func stream(w io.Writer, r io.Reader) error {
+	p := buffers.Get().(*[]byte)
+	defer buffers.Put(p)
+	for {
+		n, err := r.Read(*p)
+		if n > 0 {
+			if _, werr := w.Write((*p)[:n]); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// head reads the start of a body; whole tells that it was all of it.
+func head(r io.Reader, length int64, most int) (b []byte, whole bool, err error) {
+	if length == 0 {
+		return nil, true, nil
+	}
+	n := most
+	if length > 0 && length <= int64(most) {
+		b = make([]byte, length)
+		_, err = io.ReadFull(r, b)
+		return b, err == nil, err
+	}
+	b = make([]byte, 0, min(n, 8<<10))
+	for {
+		if len(b) == cap(b) {
+			if cap(b) >= most {
+				return b, false, nil
+			}
+			b = append(b, 0)[:len(b)]
+		}
+		k, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+k]
+		if errors.Is(err, io.EOF) {
+			return b, true, nil
+		}
+		if err != nil {
+			return b, false, err
+		}
+	}
+}
+
+func timedOut(err error) bool {
+	var ne net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+}
+
+func dialFailed(err error) bool {
+	var oe *net.OpError
+	return errors.As(err, &oe) && oe.Op == "dial"
+}
+
+func deadline(h http.Header) (time.Duration, bool) {
+	n, err := strconv.ParseFloat(h.Get(hdrDeadline), 64)
+	if err != nil || n < 0 || n > 1e9 {
+		return 0, false
+	}
+	return time.Duration(n * float64(time.Millisecond)), true
+}
+
+func millis(d time.Duration) string {
+	return strconv.FormatInt(int64(max(d, 0)/time.Millisecond), 10)
+}
--- /dev/null
+++ b/internal/switchboard/pool.go
@@ -0,0 +1,176 @@
+package switchboard
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"corkcove/internal/trunk"
+)
+
+// remote is what this node knows of one endpoint. The fields set at its making
+// never change; the rest are atomics that outlive a view.
+type remote struct {
+	id      string
+	node    string
+	inbound string
+	site    string
+	slots   int64
+	up      bool
+	cold    bool
+	*gauge
+}
+
+type gauge struct {
+	mine    atomic.Int64
+	load    atomic.Int64
+	work    atomic.Int64
+	heard   atomic.Int64
+	shunned atomic.Int64
+	fails   atomic.Int64
+	drained atomic.Bool
+}
+
+type pool struct {
+	stamp uint64
+	by    map[string][]*remote
+	nodes int
+}
+
+// Pools is the copy-on-write table of endpoints by service.
+type Pools struct {
+	site string
+	mu   sync.Mutex
+	all  map[string]*gauge
+	cur  atomic.Pointer[pool]
+	far  float64
+}
+
+func NewPools(site string, far float64) *Pools {
+	p := &Pools{site: site, all: map[string]*gauge{}, far: far}
+	p.cur.Store(&pool{by: map[string][]*remote{}})
+	return p
+}
+
+func (p *Pools) Set(v *trunk.View) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := &pool{stamp: v.Stamp, by: map[string][]*remote{}, nodes: int(v.Nodes)}
+	keep := map[string]*gauge{}
+	for _, e := range v.Endpoints {
+		g := p.all[e.Id]
+		if g == nil {
+			g = &gauge{}
+			g.work.Store(int64(50 * time.Millisecond))
+		}
+		keep[e.Id] = g
+		n.by[e.Service] = append(n.by[e.Service], &remote{id: e.Id, node: e.Node, inbound: e.Inbound, site: e.Site,
+			slots: max(int64(e.Slots), 1), up: e.State == "up", cold: e.ColdMs > 0, gauge: g})
+	}
+	p.all = keep
+	p.cur.Store(n)
+}
+
+func (p *Pools) Nodes() int { return p.cur.Load().nodes }
+
+func (r *remote) heardLoad(s string) {
+	f := strings.Split(s, ",")
+	if len(f) != 4 {
+		return
+	}
+	var x [4]int64
+	for i := range f {
+		n, err := strconv.ParseInt(f[i], 10, 64)
+		if err != nil {
+			return
+		}
+		x[i] = n
+	}
+	r.load.Store(x[0] + x[1])
+	r.work.Store(x[3] * int64(time.Millisecond))
+	r.heard.Store(time.Now().UnixNano())
+}
+
+func (r *remote) shun(d time.Duration) { r.shunned.Store(time.Now().Add(d).UnixNano()) }
+
+// pick takes the endpoint that should answer first; bytes between sites count
+// against the far ones.
+func (p *Pools) pick(service string, tried []*remote) *remote {
+	var best, spare *remote
+	var bs float64
+	now := time.Now().UnixNano()
+next:
+	for _, r := range p.cur.Load().by[service] {
+		for _, t := range tried {
+			if t == r || t.id == r.id {
+				continue next
+			}
+		}
+		if !r.up || r.drained.Load() {
+			continue
+		}
+		if r.shunned.Load() > now {
+			spare = r
+			continue
+		}
+		ld := float64(max(r.load.Load(), r.mine.Load()))
+		u := (ld + 1) / float64(r.slots)
+		w := float64(r.work.Load())
+		if w <= 0 {
+			w = float64(time.Millisecond)
+		}
+		s := w * (1 + u*u)
+		if u > 1 {
+			s += w * (u - 1) * 2
+		}
+		if r.cold {
+			s *= 2
+		}
+		if r.site != p.site {
+			s *= p.far
+		}
+		s *= 1 + 0.3*rand.Float64()
+		if best == nil || s < bs {
+			best, bs = r, s
+		}
+	}
+	if best == nil {
+		return spare
+	}
+	return best
+}
+
+// Budget pays for second arrivals at endpoints, service by service.
+type Budget struct {
+	ratio float64
+	most  float64
+	mu    sync.Mutex
+	have  map[string]float64
+}
+
+func NewBudget(ratio, most float64) *Budget {
+	return &Budget{ratio: ratio, most: most, have: map[string]float64{}}
+}
+
+func (b *Budget) Earn(service string) {
+	b.mu.Lock()
+	h, ok := b.have[service]
+	if !ok {
+		h = b.most
+	}
+	b.have[service] = min(h+b.ratio, b.most)
+	b.mu.Unlock()
+}
+
+func (b *Budget) Spend(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.have[service] < 1 {
+		return false
+	}
+	b.have[service]--
+	return true
+}
--- /dev/null
+++ b/internal/trunk/net.go
@@ -0,0 +1,87 @@
+package trunk
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sys/unix"
+)
+
+var Error = errs.Class("trunk")
+
+func Dialer(wait, silence time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:   wait,
+		KeepAlive: 5 * time.Second,
+		Control: func(_, _ string, c syscall.RawConn) error {
+			return c.Control(func(fd uintptr) {
+				unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/time.Millisecond))
+			})
+		},
+	}
+}
+
+func Transport(wait, silence, idle time.Duration, perHost int) *http.Transport {
+	return &http.Transport{
+		DialContext:         Dialer(wait, silence).DialContext,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout:     idle,
+		MaxConnsPerHost:     0,
+		WriteBufferSize:     8 << 10,
+		ReadBufferSize:      8 << 10,
+	}
+}
+
+// Lines keeps the typed user agents of the other processes by address.
+type Lines struct {
+	hc  *http.Client
+	mu  sync.Mutex
+	exs map[string]Exchange
+	cts map[string]Control
+	nds map[string]Node
+	trs map[string]Tracer
+}
+
+func NewLines(hc *http.Client) *Lines {
+	return &Lines{hc: hc, exs: map[string]Exchange{}, cts: map[string]Control{}, nds: map[string]Node{}, trs: map[string]Tracer{}}
+}
+
+func line[T any](l *Lines, m map[string]T, addr string, mk func(string, HTTPClient) T) T {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := m[addr]
+	if !ok {
+		c = mk("http://"+addr, l.hc)
+		m[addr] = c
+	}
+	return c
+}
+
+func (l *Lines) Exchange(a string) Exchange {
+	return line(l, l.exs, a, func(u string, h HTTPClient) Exchange { return NewExchangeProtobufClient(u, h) })
+}
+
+func (l *Lines) Control(a string) Control {
+	return line(l, l.cts, a, func(u string, h HTTPClient) Control { return NewControlProtobufClient(u, h) })
+}
+
+func (l *Lines) Node(a string) Node {
+	return line(l, l.nds, a, func(u string, h HTTPClient) Node { return NewNodeProtobufClient(u, h) })
+}
+
+func (l *Lines) Tracer(a string) Tracer {
+	return line(l, l.trs, a, func(u string, h HTTPClient) Tracer { return NewTracerProtobufClient(u, h) })
+}
+
+// Call runs one call within d.
+func Call[Q, R any](d time.Duration, f func(context.Context, Q) (R, error), q Q) (R, error) {
+	ctx, stop := context.WithTimeout(context.Background(), d)
+	defer stop()
+	return f(ctx, q)
+}
