Master: fresh polls at takeover, holds from copies, nodes say hello in parallel

After a full stop nodes said hello only 2.4 s later. Now: list made anew on Lead, first poll answered at once, holds count from copies too, hello to all cores at once.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -201,9 +201,9 @@
 	loop := exchange.NewLoop()
 	c := &coreNode{process: p, loop: loop, svc: numbering.NewService(loop, shards)}
 	c.master = supervisor.NewMaster(supervisor.Options{
-		Interval: 400 * time.Millisecond, Settle: 100 * time.Millisecond, Transition: time.Second, Linger: 2 * time.Second,
+		Interval: 400 * time.Millisecond, Settle: 100 * time.Millisecond, Transition: time.Second, Linger: time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
-		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"),
+		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: p.trace,
 	}, exchange.NewLoop(), lines, c)
 	hist := options.Secs(o.Terms.Bounds.HistoryS)
 	c.board, err = exchange.New(exchange.Options{
--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -75,6 +75,10 @@
 	return func(f string, a ...any) { p.ring.Note(area, f, a...) }
 }
 
+func (p *process) trace(step string, epoch, stamp uint64, detail string) {
+	p.ring.Note("trace", "%s %d under epoch %d %s", step, stamp, epoch, detail)
+}
+
 // reload takes the settings file again; a bad one leaves the old in force.
 func (p *process) reload() {
 	o, err := options.Load(p.path, p.role)
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -101,8 +101,8 @@
 	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
 	pools := switchboard.NewPools(o.Self.SiteName, 1.3)
 	var plan atomic.Pointer[dialplan.Table]
-	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 3 * time.Second,
-		Now: p.now, Note: p.note("supervisor")}
+	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 1400 * time.Millisecond,
+		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
 	ag.OnView = pools.Set
 	ag.Start(&trunk.NodeState{Name: o.Self.NodeName, Life: ag.Life, Addr: o.InnerAddr(), Inbound: o.Network.Listen.Inbound,
 		Site: o.Self.SiteName, Service: o.Self.ServiceName, State: "up"})
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -179,6 +179,7 @@
 	}
 	q.Head = b.head(p.m.Id)
 	p.copying = true
+	at := now
 	b.wire.Copy(p.m, q, func(r *trunk.CopyResp) {
 		p.copying = false
 		if r == nil {
@@ -204,7 +205,9 @@
 				continue
 			}
 			p.known[s.ix], p.acked[s.ix] = a.Epoch, a.Stamp
+			p.grants[s.ix] = max(p.grants[s.ix], at)
 			b.advance(s)
+			b.relet(s)
 		}
 		b.push(p)
 	})
@@ -254,6 +257,11 @@
 			return
 		}
 		for _, a := range acks {
+			if s := b.shards[a.Shard]; !a.Gap && s.promised == a.Epoch && s.promisedBy == from {
+				b.held(s)
+			} else {
+				a.Gap = true
+			}
 			r.Acks = append(r.Acks, a)
 		}
 		reply(r)
@@ -279,7 +287,6 @@
 		}
 		left++
 		b.install(s, st, st.Epoch, fin)
-		b.held(s)
 	}
 	for _, e := range q.Entries {
 		s := b.shards[e.Shard]
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -30,7 +30,7 @@
 				b.depose(s, s.epoch, "no majority took its copies")
 				continue
 			}
-			if now > s.lease+4*b.o.Hold && s.serving {
+			if now > max(s.lease, s.since)+4*b.o.Hold && s.serving {
 				b.depose(s, s.epoch, "no majority holds it")
 				continue
 			}
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -101,6 +101,10 @@
 	defer a.mu.Unlock()
 	if a.cut == c {
 		a.cut = nil
+		if ctx.Err() != nil {
+			a.polled = -1 << 40
+			return nil, ctx.Err()
+		}
 	}
 	a.polled = a.Now()
 	out := proto.Clone(a.node).(*trunk.NodeState)
@@ -243,32 +247,60 @@
 	}
 }
 
+// hello calls all known core nodes at once; the one that is master answers so.
 func (a *Agent) hello(ctx context.Context) {
-	tried := map[string]bool{}
-	todo := a.cores()
-	for len(todo) > 0 && ctx.Err() == nil {
-		c := todo[0]
-		todo = todo[1:]
-		if tried[c] {
-			continue
-		}
-		tried[c] = true
-		a.mu.Lock()
-		n := a.node
-		a.mu.Unlock()
+	a.mu.Lock()
+	n := a.node
+	a.mu.Unlock()
+	found := make(chan string, 1)
+	var wg sync.WaitGroup
+	var ask func(addr string, deep int)
+	ask = func(c string, deep int) {
+		defer wg.Done()
 		r, err := trunk.Call(500*time.Millisecond, a.Lines.Control(c).Hello, &trunk.HelloReq{Node: n})
 		if err != nil {
-			continue
+			return
 		}
 		if r.Master {
-			a.fetch(c)
+			select {
+			case found <- c:
+			default:
+			}
 			return
 		}
-		if r.MasterAddr != "" {
-			todo = append([]string{r.MasterAddr}, todo...)
+		if deep > 0 {
+			for _, m := range r.Roll.GetMembers() {
+				if !a.known(m.Addr) {
+					wg.Add(1)
+					go ask(m.Addr, deep-1)
+				}
+			}
 		}
-		for _, m := range r.Roll.GetMembers() {
-			todo = append(todo, m.Addr)
+	}
+	for _, c := range a.cores() {
+		wg.Add(1)
+		go ask(c, 1)
+	}
+	done := make(chan struct{})
+	go func() { wg.Wait(); close(done) }()
+	select {
+	case c := <-found:
+		a.fetch(c)
+	case <-done:
+		select {
+		case c := <-found:
+			a.fetch(c)
+		default:
+		}
+	case <-ctx.Done():
+	}
+}
+
+func (a *Agent) known(addr string) bool {
+	for _, c := range a.cores() {
+		if c == addr {
+			return true
 		}
 	}
+	return false
 }
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -119,6 +119,7 @@
 			m.poll(n, h.state.Addr)
 		}
 	}
+	m.touch()
 	m.SetConfig(conf, doc)
 }
 
@@ -225,7 +226,7 @@
 	ep := m.epoch
 	c := m.lines.Node(addr)
 	st := m.hs[name].state
-	life, seq, conf := st.GetLife(), st.GetSeq(), m.conf
+	life, seq, conf := st.GetLife(), uint64(0), m.conf
 	go func() {
 		for ctx.Err() == nil {
 			cx, cancel := context.WithTimeout(ctx, m.o.Linger+m.o.Grace)
@@ -243,6 +244,13 @@
 				}
 				conf = m.conf
 				h := m.hs[name]
+				if err == nil && r.Stale {
+					if r.Epoch > ep {
+						m.note("node %s has heard of epoch %d", name, r.Epoch)
+						return
+					}
+					h.state.Addr = ""
+				}
 				if bad {
 					m.missed(name, h)
 					return
