--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -99,6 +99,8 @@
 	promisedBy string
 	pledgedAt  time.Duration
 	heldUntil  time.Duration
+	rumour     string
+	rumourTo   time.Duration
 
 	role    role
 	since   time.Duration
--- /dev/null
+++ b/internal/exchange/sim_test.go
@@ -0,0 +1,597 @@
+package exchange_test
+
+import (
+	"container/heap"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/exchange"
+	"corkcove/internal/numbering"
+	"corkcove/internal/trunk"
+)
+
+// A world of boards on a made clock, wire and disk. One seed gives one order
+// of events; nothing in it sleeps.
+
+type happening struct {
+	at  time.Duration
+	seq int
+	f   func()
+}
+
+type agenda []happening
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(happening)) }
+func (a *agenda) Pop() any {
+	o := *a
+	x := o[len(o)-1]
+	*a = o[:len(o)-1]
+	return x
+}
+
+type machine struct {
+	w     *world
+	addr  string
+	life  int
+	up    bool
+	board *exchange.Board
+	disk  [][]byte
+	sync  time.Duration
+	full  bool
+	first bool
+}
+
+type world struct {
+	t    *testing.T
+	now  time.Duration
+	seq  int
+	ag   agenda
+	rng  *rand.Rand
+	ms   map[string]*machine
+	cut  map[[2]string]bool
+	loss float64
+	ids  int
+	n    int
+	log  []string
+}
+
+const simShards = 4
+
+var seeds = flag.Int64("seeds", 60, "how many orders of events to try")
+
+func newWorld(t *testing.T, seed int64, n int) *world {
+	w := &world{t: t, rng: rand.New(rand.NewSource(seed)), ms: map[string]*machine{}, cut: map[[2]string]bool{}, n: n}
+	for i := 0; i < n; i++ {
+		w.add(fmt.Sprintf("m%d", i), true)
+	}
+	return w
+}
+
+func (w *world) note(f string, a ...any) {
+	w.log = append(w.log, fmt.Sprintf("%8.3f ", w.now.Seconds())+fmt.Sprintf(f, a...))
+}
+
+func (w *world) at(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.ag, happening{w.now + d, w.seq, f})
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.ag) > 0 && w.ag[0].at <= until {
+		h := heap.Pop(&w.ag).(happening)
+		w.now = h.at
+		h.f()
+	}
+	w.now = until
+}
+
+func (w *world) seeds() []*trunk.Member {
+	var out []*trunk.Member
+	for i := 0; i < w.n; i++ {
+		a := fmt.Sprintf("m%d", i)
+		out = append(out, &trunk.Member{Addr: a, Control: a})
+	}
+	return out
+}
+
+func (w *world) add(addr string, first bool) *machine {
+	m := &machine{w: w, addr: addr, sync: 2 * time.Millisecond, first: first}
+	w.ms[addr] = m
+	m.start()
+	return m
+}
+
+func (m *machine) start() {
+	w := m.w
+	m.life++
+	m.up = true
+	life := m.life
+	b, err := exchange.New(exchange.Options{
+		Me: &trunk.Member{Addr: m.addr, Control: m.addr}, Seeds: w.seeds(), First: m.first, Shards: simShards,
+		Hold: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 20000,
+		NewTable: func() exchange.Table { return numbering.NewTable(20 * time.Second) },
+		NewID:    func() string { w.ids++; return fmt.Sprintf("id%d", w.ids) },
+		Now:      func() time.Duration { return w.now }, Rand: w.rng.Intn,
+		Note: func(f string, a ...any) { w.note(m.addr+" "+f, a...) },
+	}, &wire{m, life}, &shelf{m, life}, append([][]byte(nil), m.disk...))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	m.first = false
+	m.board = b
+	var tick func()
+	tick = func() {
+		if m.up && m.life == life {
+			b.Tick()
+			w.at(50*time.Millisecond, tick)
+		}
+	}
+	w.at(time.Millisecond*time.Duration(w.rng.Intn(50)), tick)
+}
+
+func (m *machine) kill() { m.up = false; m.life++; m.board = nil }
+
+type shelf struct {
+	m    *machine
+	life int
+}
+
+var errFull = errors.New("no space left")
+
+func (s *shelf) later(f func(error)) {
+	m, life, full := s.m, s.life, s.m.full
+	m.w.at(m.sync, func() {
+		if m.life != life {
+			return
+		}
+		if full || m.full {
+			f(errFull)
+			return
+		}
+		f(nil)
+	})
+}
+
+func (s *shelf) Append(rec []byte, done func(error)) {
+	s.later(func(err error) {
+		if err == nil && len(rec) > 0 {
+			s.m.disk = append(s.m.disk, rec)
+		}
+		done(err)
+	})
+}
+
+func (s *shelf) Checkpoint(page [][]byte, done func(error)) {
+	s.later(func(err error) {
+		if err == nil {
+			s.m.disk = append([][]byte(nil), page...)
+		}
+		done(err)
+	})
+}
+
+type wire struct {
+	m    *machine
+	life int
+}
+
+func (w *world) open(a, b string) bool { return !w.cut[[2]string{a, b}] }
+
+func carry[Q, R proto.Message](x *wire, to string, q Q, cb func(R), f func(b *exchange.Board, q Q, reply func(R))) {
+	w := x.m.w
+	var none R
+	done := false
+	fin := func(r R) {
+		if !done && x.m.life == x.life {
+			done = true
+			cb(r)
+		}
+	}
+	w.at(600*time.Millisecond, func() { fin(none) })
+	lag := func() time.Duration { return time.Duration(200+w.rng.Intn(4000)) * time.Microsecond }
+	q = proto.Clone(q).(Q)
+	w.at(lag(), func() {
+		t := w.ms[to]
+		if t == nil || !t.up || !w.open(x.m.addr, to) || w.rng.Float64() < w.loss {
+			return
+		}
+		life := t.life
+		f(t.board, q, func(r R) {
+			if any(r) == any(none) || t.life != life || !w.open(to, x.m.addr) || w.rng.Float64() < w.loss {
+				return
+			}
+			r = proto.Clone(r).(R)
+			w.at(lag(), func() { fin(r) })
+		})
+	})
+}
+
+func (x *wire) Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp)) {
+	carry(x, to.Addr, q, cb, func(b *exchange.Board, q *trunk.HoldReq, f func(*trunk.HoldResp)) { f(b.OnHold(q)) })
+}
+func (x *wire) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
+	carry(x, to.Addr, q, cb, (*exchange.Board).OnCopy)
+}
+func (x *wire) Ask(to *trunk.Member, q *trunk.AskReq, cb func(*trunk.AskResp)) {
+	carry(x, to.Addr, q, cb, (*exchange.Board).OnAsk)
+}
+func (x *wire) Hand(to *trunk.Member, q *trunk.HandReq, cb func(*trunk.HandResp)) {
+	carry(x, to.Addr, q, cb, func(b *exchange.Board, q *trunk.HandReq, f func(*trunk.HandResp)) { f(b.OnHand(q)) })
+}
+func (x *wire) Enroll(to *trunk.Member, q *trunk.EnrollReq, cb func(*trunk.EnrollResp)) {
+	carry(x, to.Addr, q, cb, (*exchange.Board).OnEnroll)
+}
+func (x *wire) Survey(to string, q *trunk.SurveyReq, cb func(*trunk.SurveyResp)) {
+	carry(x, to, q, cb, (*exchange.Board).OnSurvey)
+}
+func (x *wire) Join(to *trunk.Member, q *trunk.JoinReq, cb func(*trunk.JoinResp)) {
+	carry(x, to.Addr, q, cb, func(b *exchange.Board, q *trunk.JoinReq, f func(*trunk.JoinResp)) { f(b.OnJoin(q)) })
+}
+
+// The callers' side and the rules.
+
+type rules struct {
+	w       *world
+	served  int
+	failed  int
+	numTop  uint64
+	numSeen map[uint64]bool
+	revTop  map[string]uint64
+	revSeen map[uint64]string
+	grpTop  uint64
+	vals    int
+	values  map[string]map[string]bool
+	until   map[string]time.Duration
+	holder  map[string]string
+	fence   map[string]uint64
+}
+
+func newRules(w *world) *rules {
+	return &rules{w: w, numSeen: map[uint64]bool{}, revTop: map[string]uint64{}, revSeen: map[uint64]string{},
+		values: map[string]map[string]bool{}, until: map[string]time.Duration{}, holder: map[string]string{}, fence: map[string]uint64{}}
+}
+
+func (r *rules) broken(f string, a ...any) {
+	n := len(r.w.log)
+	for _, l := range r.w.log[max(0, n-60):] {
+		r.w.t.Log(l)
+	}
+	r.w.t.Fatalf("at %v: "+f, append([]any{r.w.now}, a...)...)
+}
+
+func (r *rules) pick() *machine {
+	var ups []*machine
+	for i := 0; i < 16; i++ {
+		if m := r.w.ms[fmt.Sprintf("m%d", i)]; m != nil && m.up {
+			ups = append(ups, m)
+		}
+	}
+	if len(ups) == 0 {
+		return nil
+	}
+	return ups[r.w.rng.Intn(len(ups))]
+}
+
+// call goes to some board; where that board names an owner, the owner is tried.
+func (r *rules) call(shard int, f func(t *numbering.Table, now time.Duration) *trunk.Change, cb func(error)) {
+	m := r.pick()
+	if m == nil {
+		return
+	}
+	for hop := 0; hop < 2; hop++ {
+		if _, own := m.board.Own(shard); own {
+			break
+		}
+		o, ok := m.board.Owner(shard)
+		if !ok || r.w.ms[o.Addr] == nil || !r.w.ms[o.Addr].up {
+			r.failed++
+			return
+		}
+		m = r.w.ms[o.Addr]
+	}
+	life := m.life
+	m.board.Do(shard, func(t exchange.Table, now time.Duration) *trunk.Change { return f(t.(*numbering.Table), now) }, func(err error) {
+		if m.life != life {
+			return
+		}
+		r.w.at(time.Duration(r.w.rng.Intn(3000))*time.Microsecond, func() {
+			if err != nil {
+				r.failed++
+			} else {
+				r.served++
+			}
+			cb(err)
+		})
+	})
+}
+
+func (r *rules) number() {
+	top := r.numTop
+	var n uint64
+	r.call(1, func(t *numbering.Table, _ time.Duration) (c *trunk.Change) { c, n = t.Next("n"); return c }, func(err error) {
+		if err != nil {
+			return
+		}
+		if r.numSeen[n] || n <= top {
+			r.broken("ORDER: number %d after %d (seen %v)", n, top, r.numSeen[n])
+		}
+		r.numSeen[n] = true
+		r.numTop = max(r.numTop, n)
+	})
+}
+
+func (r *rules) put() {
+	k := fmt.Sprintf("g.%d", r.w.rng.Intn(3))
+	r.vals++
+	v := fmt.Sprintf("v%d", r.vals)
+	if r.values[k] == nil {
+		r.values[k] = map[string]bool{}
+	}
+	r.values[k][v] = true
+	top := r.grpTop
+	var c numbering.Cell
+	r.call(2, func(t *numbering.Table, now time.Duration) (x *trunk.Change) { x, c = t.Put(k, v, nil, now); return x }, func(err error) {
+		if err != nil {
+			return
+		}
+		if r.revSeen[c.Revision] != "" || c.Revision <= top {
+			r.broken("ORDER: revision %d after %d", c.Revision, top)
+		}
+		r.revSeen[c.Revision] = v
+		r.grpTop = max(r.grpTop, c.Revision)
+		r.revTop[k] = max(r.revTop[k], c.Revision)
+	})
+}
+
+func (r *rules) get() {
+	k := fmt.Sprintf("g.%d", r.w.rng.Intn(3))
+	top := r.revTop[k]
+	var c numbering.Cell
+	r.call(2, func(t *numbering.Table, _ time.Duration) *trunk.Change { c = t.Get(k); return nil }, func(err error) {
+		if err != nil {
+			return
+		}
+		if c.Revision < top {
+			r.broken("STALE: %s read at %d, acknowledged at %d", k, c.Revision, top)
+		}
+		if c.Revision > 0 && !r.values[k][c.Payload] {
+			r.broken("MIXED: %s shows %q", k, c.Payload)
+		}
+		if o := r.revSeen[c.Revision]; o != "" && o != c.Payload {
+			r.broken("MIXED: revision %d was %s, shows %s", c.Revision, o, c.Payload)
+		}
+	})
+}
+
+func (r *rules) take() {
+	k := fmt.Sprintf("l%d", r.w.rng.Intn(2))
+	who := fmt.Sprintf("h%d", r.w.rng.Intn(4))
+	sent := r.w.now
+	old := r.fence[k]
+	oldWho := r.holder[k]
+	hold := time.Duration(300+r.w.rng.Intn(1500)) * time.Millisecond
+	var g numbering.Grant
+	r.call(3, func(t *numbering.Table, now time.Duration) (x *trunk.Change) {
+		x, g = t.Take(k, who, hold, now)
+		return x
+	}, func(err error) {
+		if err != nil || g.Outcome != numbering.Done {
+			return
+		}
+		if r.w.now >= sent+hold {
+			return
+		}
+		if r.holder[k] != who && r.w.now < r.until[k] {
+			r.broken("ONE: %s holds %s until %v, now also %s", r.holder[k], k, r.until[k], who)
+		}
+		if oldWho != who && g.Fence <= old {
+			r.broken("ONE: fence %d of %s is not above %d", g.Fence, who, old)
+		}
+		r.holder[k], r.until[k] = who, max(sent+hold, cond(r.holder[k] == who, r.until[k]))
+		r.fence[k] = max(r.fence[k], g.Fence)
+	})
+}
+
+func cond(b bool, d time.Duration) time.Duration {
+	if b {
+		return d
+	}
+	return 0
+}
+
+func (r *rules) work(end time.Duration) {
+	var step func()
+	step = func() {
+		if r.w.now >= end {
+			return
+		}
+		switch r.w.rng.Intn(4) {
+		case 0:
+			r.number()
+		case 1:
+			r.put()
+		case 2:
+			r.get()
+		case 3:
+			r.take()
+		}
+		r.w.at(time.Duration(r.w.rng.Intn(20000))*time.Microsecond, step)
+	}
+	r.w.at(time.Second, step)
+}
+
+func (w *world) isolate(a string, on bool) {
+	for b := range w.ms {
+		if b != a {
+			w.cut[[2]string{a, b}], w.cut[[2]string{b, a}] = on, on
+		}
+	}
+}
+
+func (w *world) owners() int {
+	n := 0
+	for s := 0; s < simShards; s++ {
+		for _, m := range w.ms {
+			if m.up {
+				if _, own := m.board.Own(s); own {
+					n++
+				}
+			}
+		}
+	}
+	return n
+}
+
+func check(t *testing.T, w *world, r *rules, before int) {
+	t.Helper()
+	c := qt.New(t)
+	if w.owners() != simShards {
+		for _, l := range w.log[max(0, len(w.log)-40):] {
+			t.Log(l)
+		}
+	}
+	c.Assert(w.owners(), qt.Equals, simShards)
+	c.Assert(r.served > before, qt.IsTrue)
+}
+
+func TestQuietCoreServes(t *testing.T) {
+	for _, n := range []int{1, 3, 5} {
+		w := newWorld(t, 1, n)
+		r := newRules(w)
+		r.work(5 * time.Second)
+		w.run(6 * time.Second)
+		check(t, w, r, 200)
+		qt.Assert(t, r.failed < 10, qt.IsTrue, qt.Commentf("%d members: %d calls failed", n, r.failed))
+	}
+}
+
+func TestTroublesKeepTheRules(t *testing.T) {
+	for seed := int64(1); seed <= *seeds; seed++ {
+		w := newWorld(t, seed, 3)
+		r := newRules(w)
+		r.work(24 * time.Second)
+		w.run(2 * time.Second)
+		for k := 0; k < 3; k++ {
+			w.loss = []float64{0, 0.05, 0.2}[w.rng.Intn(3)]
+			a := fmt.Sprintf("m%d", w.rng.Intn(3))
+			m := w.ms[a]
+			switch w.rng.Intn(7) {
+			case 0:
+				w.note("kill %s", a)
+				m.kill()
+				w.run(w.now + time.Duration(w.rng.Intn(3000))*time.Millisecond)
+				m.start()
+			case 1:
+				w.note("cut %s", a)
+				w.isolate(a, true)
+				w.run(w.now + time.Duration(500+w.rng.Intn(3000))*time.Millisecond)
+				w.isolate(a, false)
+			case 2:
+				w.note("wipe %s", a)
+				m.kill()
+				m.disk = nil
+				w.run(w.now + time.Duration(w.rng.Intn(2000))*time.Millisecond)
+				m.start()
+			case 3:
+				w.note("kill all")
+				for _, x := range w.ms {
+					x.kill()
+				}
+				w.run(w.now + time.Duration(w.rng.Intn(1000))*time.Millisecond)
+				for i := 0; i < 3; i++ {
+					w.ms[fmt.Sprintf("m%d", i)].start()
+				}
+			case 4:
+				w.note("full %s", a)
+				m.full = true
+				w.run(w.now + 2*time.Second)
+				m.full = false
+			case 5:
+				w.note("one way %s", a)
+				for b := range w.ms {
+					if b != a {
+						w.cut[[2]string{a, b}] = true
+					}
+				}
+				w.run(w.now + 2*time.Second)
+				w.isolate(a, false)
+			case 6:
+				w.note("stall %s", a)
+				m.sync = 2500 * time.Millisecond
+				w.run(w.now + 3*time.Second)
+				m.sync = 2 * time.Millisecond
+			}
+			w.loss = 0
+			w.run(w.now + 4*time.Second)
+		}
+		n := r.served
+		r.work(w.now + 4*time.Second)
+		w.run(w.now + 5*time.Second)
+		check(t, w, r, n+50)
+	}
+}
+
+func TestReplacedMemberGivesItsPlaceToANewOne(t *testing.T) {
+	for seed := int64(1); seed <= 10; seed++ {
+		w := newWorld(t, seed, 3)
+		r := newRules(w)
+		r.work(30 * time.Second)
+		w.run(3 * time.Second)
+		a := fmt.Sprintf("m%d", w.rng.Intn(3))
+		w.ms[a].kill()
+		w.run(w.now + time.Second)
+		w.add("m7", false)
+		w.run(w.now + 6*time.Second)
+		qt.Assert(t, w.ms["m7"].board.Blank(), qt.IsFalse)
+		qt.Assert(t, len(w.ms["m7"].board.Roll().Members), qt.Equals, 3)
+		b := w.pickOther(a)
+		w.ms[b].kill()
+		n := r.served
+		w.run(w.now + 5*time.Second)
+		check(t, w, r, n+20)
+	}
+}
+
+func (w *world) pickOther(a string) string {
+	for i := 0; i < 3; i++ {
+		if b := fmt.Sprintf("m%d", i); b != a {
+			return b
+		}
+	}
+	return ""
+}
+
+func TestMinorityNeverServes(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.run(2 * time.Second)
+	w.isolate("m0", true)
+	w.run(w.now + 1500*time.Millisecond)
+	for s := 0; s < simShards; s++ {
+		_, own := w.ms["m0"].board.Own(s)
+		qt.Assert(t, own, qt.IsFalse)
+		var got error
+		w.ms["m0"].board.Do(s, func(exchange.Table, time.Duration) *trunk.Change { return nil }, func(err error) { got = err })
+		qt.Assert(t, got, qt.IsNotNil)
+	}
+}
+
+func TestOnLeaveTheSuccessorIsNamed(t *testing.T) {
+	w := newWorld(t, 4, 3)
+	w.run(4 * time.Second)
+	w.ms["m0"].board.Leave()
+	w.run(w.now + 600*time.Millisecond)
+	qt.Assert(t, w.ms["m0"].board.Idle(), qt.IsTrue)
+	qt.Assert(t, w.owners(), qt.Equals, simShards)
+}
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -128,6 +128,9 @@
 			if m.Settled > 0 {
 				b.settles[s.ix] = max(b.settles[s.ix], m.Settled)
 			}
+		case m.Epoch > s.promised:
+			s.rumour, s.rumourTo = from, b.now()+b.o.Hold
+			s.asked = max(s.asked, m.Epoch)
 		case m.Epoch < s.promised:
 			r.Deposed = append(r.Deposed, &trunk.Mark{Shard: m.Shard, Epoch: s.promised})
 		}
@@ -141,11 +144,17 @@
 	if s.role == owner || s.role == handing {
 		return b.me, true
 	}
-	if s.promisedBy == b.me.Id || s.promisedBy == "" || b.now() >= s.heldUntil || b.blank {
+	who := s.promisedBy
+	if b.now() < s.rumourTo {
+		who = s.rumour
+	} else if b.now() >= s.heldUntil {
+		return nil, false
+	}
+	if who == b.me.Id || who == "" || b.blank {
 		return nil, false
 	}
 	for _, m := range b.roll.Members {
-		if m.Id == s.promisedBy {
+		if m.Id == who {
 			return m, true
 		}
 	}
@@ -198,7 +207,7 @@
 	}
 	var asks []*shard
 	for _, s := range b.shards {
-		if s.role != idle || now < s.retryAt {
+		if s.role != idle || now < s.retryAt || now < s.rumourTo {
 			continue
 		}
 		if now < s.heldUntil && s.promisedBy != b.me.Id {
--- a/internal/numbering/table.go
+++ b/internal/numbering/table.go
@@ -121,7 +121,9 @@
 func (t *Table) Dump(now time.Duration) *trunk.ShardState {
 	s := &trunk.ShardState{Fences: t.fences}
 	for n, l := range t.locks {
-		s.Locks = append(s.Locks, &trunk.Lock{Name: n, Holder: l.holder, Fence: l.fence, HoldMs: ms(l.hold), AgeMs: ms(now - (l.until - l.hold))})
+		left := max(l.until-now, 0)
+		h := max(l.hold, left)
+		s.Locks = append(s.Locks, &trunk.Lock{Name: n, Holder: l.holder, Fence: l.fence, HoldMs: ms(h + time.Millisecond - 1), AgeMs: ms(h - left)})
 	}
 	for n, h := range t.nums {
 		s.Numbers = append(s.Numbers, &trunk.Number{Name: n, High: h})
