--- /dev/null
+++ b/internal/subscriber/subscriber_test.go
@@ -0,0 +1,173 @@
+package subscriber
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// orders calls f with each way to merge the threads' steps.
+func orders(lens []int, f func(order []int)) {
+	var rec func(at []int, o []int)
+	rec = func(at []int, o []int) {
+		done := true
+		for i := range lens {
+			if at[i] < lens[i] {
+				done = false
+				at[i]++
+				rec(at, append(o, i))
+				at[i]--
+			}
+		}
+		if done {
+			f(append([]int(nil), o...))
+		}
+	}
+	rec(make([]int, len(lens)), nil)
+}
+
+func desk(now func() time.Time) *Desk {
+	return New(Options{Service: "s", Beat: time.Second, Missed: 3, Queue: 1, Now: now, Note: func(string, ...any) {}, Changed: func(Life) {}})
+}
+
+func beat(id, state string, seq uint64) Beat {
+	return Beat{ID: id, Service: "s", Slots: 1, State: state, Seq: seq}
+}
+
+// Two requests, a drain and a new life, in every order: at most one request
+// holds the only slot, none is let in after the drain was acknowledged, and
+// none reaches a life that it was not meant for.
+func TestEveryOrderOfAdmitDrainAndNewLife(t *testing.T) {
+	n := 0
+	orders([]int{2, 2, 3}, func(order []int) {
+		n++
+		synctest.Test(t, func(t *testing.T) {
+			d := desk(time.Now)
+			d.Beat(beat("a", "ready", 1))
+			running, drained := 0, false
+			life := "a"
+			type req struct {
+				free func()
+				why  Reason
+				back chan struct{}
+			}
+			rs := [2]req{}
+			step := [3]int{}
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			for _, who := range order {
+				switch {
+				case who < 2 && step[who] == 0:
+					r := &rs[who]
+					r.back = make(chan struct{})
+					late := drained
+					go func() {
+						r.free, r.why = d.Admit(ctx, "a", who, time.Now().Add(time.Hour), time.Hour)
+						close(r.back)
+					}()
+					synctest.Wait()
+					if late {
+						<-r.back
+						qt.Check(t, r.why, qt.Not(qt.Equals), None, qt.Commentf("%v: let in after the drain", order))
+					}
+				case who < 2:
+					r := &rs[who]
+					select {
+					case <-r.back:
+						if r.why == None {
+							r.free()
+							r.why = Quit
+							synctest.Wait()
+						}
+					default:
+					}
+				case step[2] == 0:
+					d.Beat(beat("a", "draining", 2))
+					drained = true
+				case step[2] == 1:
+					d.Leave("a")
+				default:
+					qt.Check(t, d.Beat(beat("b", "ready", 1)), qt.IsTrue)
+					life = "b"
+				}
+				step[who]++
+				synctest.Wait()
+				running = 0
+				for i := range rs {
+					if rs[i].back == nil {
+						continue
+					}
+					select {
+					case <-rs[i].back:
+						if rs[i].why == None {
+							running++
+						}
+					default:
+						qt.Check(t, drained, qt.IsFalse, qt.Commentf("%v: still queued after the drain", order))
+					}
+				}
+				qt.Check(t, running <= 1, qt.IsTrue, qt.Commentf("%v: %d in one slot", order, running))
+			}
+			qt.Check(t, d.Life().ID, qt.Equals, life)
+			qt.Check(t, d.Beat(beat("a", "ready", 9)), qt.IsFalse, qt.Commentf("an ended life came back"))
+			qt.Check(t, d.Life().ID, qt.Equals, "b")
+			free, why := d.Admit(ctx, "b", 0, time.Now().Add(time.Hour), time.Hour)
+			qt.Check(t, why, qt.Equals, None)
+			free()
+		})
+	})
+	qt.Assert(t, n, qt.Equals, 210)
+}
+
+func TestQueueGoesByRankThenDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := desk(time.Now)
+		b := beat("a", "ready", 1)
+		b.Slots = 4
+		d.Beat(b)
+		var held []func()
+		for i := 0; i < 4; i++ {
+			f, why := d.Admit(context.Background(), "a", 0, time.Now().Add(time.Minute), time.Minute)
+			qt.Assert(t, why, qt.Equals, None)
+			held = append(held, f)
+		}
+		got := make(chan string, 8)
+		for _, x := range []struct {
+			rank int
+			due  time.Duration
+		}{{2, 10}, {1, 30}, {1, 20}, {0, 40}} {
+			go func() {
+				f, why := d.Admit(context.Background(), "a", x.rank, time.Now().Add(x.due*time.Second), time.Minute)
+				got <- fmt.Sprintf("%d %d %s", x.rank, int(x.due), why)
+				if f != nil {
+					f()
+				}
+			}()
+			synctest.Wait()
+		}
+		held[0]()
+		synctest.Wait()
+		for _, w := range []string{"0 40", "1 20", "1 30", "2 10"} {
+			qt.Check(t, <-got, qt.Equals, w+" ")
+		}
+	})
+}
+
+func TestSilentEndpointIsUnsoundUntilItsNextBeat(t *testing.T) {
+	now := time.Unix(0, 0)
+	d := desk(func() time.Time { return now })
+	d.Beat(beat("a", "ready", 1))
+	now = now.Add(3500 * time.Millisecond)
+	d.Tick()
+	_, why := d.Admit(context.Background(), "a", 0, now.Add(time.Second), time.Second)
+	qt.Check(t, why, qt.Equals, Unsound)
+	qt.Check(t, d.Beat(beat("a", "ready", 1)), qt.IsFalse)
+	qt.Check(t, d.Beat(beat("a", "ready", 2)), qt.IsTrue)
+	f, why := d.Admit(context.Background(), "a", 0, now.Add(time.Second), time.Second)
+	qt.Check(t, why, qt.Equals, None)
+	f()
+}
