--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -130,10 +130,12 @@
 }
 
 func (c *coreNode) Hello(_ context.Context, q *trunk.HelloReq) (*trunk.HelloResp, error) {
-	is, _ := exchange.Ask(c.master.Loop, func() bool { return c.master.Hello(q.Node) })
-	r := &trunk.HelloResp{Master: is}
+	r, _ := exchange.Ask(c.master.Loop, func() *trunk.HelloResp {
+		l, is := c.master.Hello(q.Node)
+		return &trunk.HelloResp{Master: is, Last: l}
+	})
 	r.Roll, _ = exchange.Ask(c.loop, func() *trunk.Roll { return c.board.Roll() })
-	if !is {
+	if !r.Master {
 		r.MasterAddr = c.masterAddr()
 	}
 	return r, nil
@@ -201,7 +203,7 @@
 	loop := exchange.NewLoop()
 	c := &coreNode{process: p, loop: loop, svc: numbering.NewService(loop, shards)}
 	c.master = supervisor.NewMaster(supervisor.Options{
-		Interval: 400 * time.Millisecond, Settle: 100 * time.Millisecond, Transition: time.Second, Linger: time.Second,
+		Interval: 400 * time.Millisecond, Settle: 100 * time.Millisecond, Transition: 250 * time.Millisecond, Linger: time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
 		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: p.trace,
 	}, exchange.NewLoop(), lines, c)
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/dghubble/sling"
+
 	"corkcove/internal/desk"
 	"corkcove/internal/dialplan"
 	"corkcove/internal/options"
@@ -99,7 +101,7 @@
 	}
 	bd := o.Terms.Bounds
 	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
-	pools := switchboard.NewPools(o.Self.SiteName, 1.3)
+	pools := switchboard.NewPools(o.Self.SiteName, 1.3, 2.5)
 	var plan atomic.Pointer[dialplan.Table]
 	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 1400 * time.Millisecond,
 		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
@@ -134,6 +136,7 @@
 		return nil
 	}
 
+	go meet(o, ag, sub, &plan, app)
 	var leaving atomic.Bool
 	mux := http.NewServeMux()
 	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(ag))
@@ -177,20 +180,51 @@
 	}
 	t0 := time.Now()
 	leaving.Store(true)
-	sub.Stop()
-	ag.Set(func(n *trunk.NodeState) { n.State = "stopping" })
-	in.Leave()
 	out.Leave()
 	fr.quiet()
-	ins.SetKeepAlivesEnabled(false)
 	grace := options.Secs(bd.GraceS)
 	linger := min(grace/2, 2500*time.Millisecond)
+	closed := false
 	for {
 		e := time.Since(t0)
-		if e > grace-200*time.Millisecond || e > linger && in.Running.Load() == 0 && out.Running.Load() == 0 {
+		if !closed && e > linger-500*time.Millisecond {
+			closed = true
+			sub.Stop()
+			ag.Set(func(n *trunk.NodeState) { n.State = "stopping" })
+			in.Leave()
+			ins.SetKeepAlivesEnabled(false)
+		}
+		if e > grace-350*time.Millisecond || e > linger && in.Running.Load() == 0 && out.Running.Load() == 0 {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	return nil
 }
+
+// meet asks the endpoint who it is when this process has started beside one
+// that runs already, rather than wait for its next beat.
+func meet(o options.Options, ag *supervisor.Agent, sub *subscriber.Desk, plan *atomic.Pointer[dialplan.Table], line http.RoundTripper) {
+	hc := &http.Client{Transport: line, Timeout: 400 * time.Millisecond}
+	end := time.Now().Add(options.Secs(o.Platform.BeatS))
+	for tries := 0; tries < 3 && time.Now().Before(end) && !sub.Life().Known; {
+		time.Sleep(20 * time.Millisecond)
+		t, last := plan.Load(), ag.Last()
+		if t == nil || last.GetId() == "" || last.Service != o.Self.ServiceName {
+			continue
+		}
+		i, ok := t.Service(o.Self.ServiceName)
+		if !ok {
+			return
+		}
+		tries++
+		p, err := sling.New().Client(hc).Get("http://" + o.Self.AppAddr + t.Services[i].SoundnessPath).ReceiveSuccess(nil)
+		if err != nil || p == nil || p.StatusCode != http.StatusOK {
+			continue
+		}
+		if p.Header.Get("X-Instance-Id") != last.Id {
+			return
+		}
+		sub.Found(last.Id, int(last.Slots))
+	}
+}
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -34,6 +34,7 @@
 	conf   uint64
 	polled time.Duration
 	cmu    sync.Mutex
+	last   *trunk.Endpoint
 }
 
 func (a *Agent) Start(n *trunk.NodeState) {
@@ -195,6 +196,13 @@
 	return a.view != nil && a.conf > 0
 }
 
+// Last is the endpoint that the master knew beside this node before it started.
+func (a *Agent) Last() *trunk.Endpoint {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last
+}
+
 func (a *Agent) Master() string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -262,6 +270,11 @@
 			return
 		}
 		if r.Master {
+			a.mu.Lock()
+			if a.last == nil {
+				a.last = r.Last
+			}
+			a.mu.Unlock()
 			select {
 			case found <- c:
 			default:
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -97,7 +97,7 @@
 		if h := m.hs[e.Node]; h == nil {
 			m.hs[e.Node] = &history{state: &trunk.NodeState{Name: e.Node, Addr: "", Inbound: e.Inbound, Endpoint: &trunk.Endpoint{
 				Id: e.Id, Service: e.Service, Addr: e.Addr, Site: e.Site, Slots: e.Slots, State: back(e.State), Sound: true, Release: e.Release}},
-				seen: now, reached: true, endpoint: e.Id}
+				seen: now, reached: true, endpoint: e.Id, last: e}
 		} else {
 			h.seen, h.fails, h.reached = now, 0, true
 		}
@@ -194,9 +194,10 @@
 
 func (m *Master) View() *trunk.View { return m.view }
 
-func (m *Master) Hello(n *trunk.NodeState) bool {
+// Hello makes a node known; it gives back the endpoint that the node had last.
+func (m *Master) Hello(n *trunk.NodeState) (*trunk.Endpoint, bool) {
 	if !m.leading {
-		return false
+		return nil, false
 	}
 	h := m.hs[n.Name]
 	if h == nil {
@@ -214,7 +215,7 @@
 	}
 	m.poll(n.Name, n.Addr)
 	m.follow(n.Name, h)
-	return true
+	return h.last, true
 }
 
 func (m *Master) poll(name, addr string) {
--- a/internal/supervisor/merge.go
+++ b/internal/supervisor/merge.go
@@ -34,6 +34,7 @@
 	crashes  []time.Duration
 	unproven bool
 	setOut   bool
+	last     *trunk.Endpoint
 }
 
 type rules struct {
@@ -59,6 +60,9 @@
 	if e := n.Endpoint; e != nil && (e.State == Draining || e.State == "gone") {
 		h.endpoint, h.cold = "", false
 	}
+	if id != "" {
+		h.last = n.Endpoint
+	}
 	h.state, h.seen, h.fails, h.reached = n, now, 0, true
 }
 
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -211,7 +211,7 @@
 		if time.Now().After(t.due) || t.ctx.Err() != nil {
 			break
 		}
-		r := t.b.o.Pools.pick(t.to, t.tried)
+		r := t.b.o.Pools.pick(t.to, t.heavy(), t.tried)
 		if r == nil {
 			if full > 0 || n > 0 || !t.pause(20*time.Millisecond) {
 				break
@@ -255,6 +255,11 @@
 	return t.give(refused)
 }
 
+// heavy tells that the bytes of this request or its answer are many.
+func (t *trip) heavy() bool {
+	return t.route.Kind == dialplan.Upload || t.route.Kind == dialplan.Download || len(t.body) > 16<<10
+}
+
 func (t *trip) give(o outcome) bool {
 	if t.r.Context().Err() != nil {
 		return true
@@ -354,6 +359,12 @@
 	if o := p.Header.Get(hdrOutcome); o != "" {
 		return t.sorted(r, o, p.Header.Get(hdrReason))
 	}
+	if p.StatusCode >= 500 && t.route.Kind.Repeatable() && t.arrivals+1 < max(t.route.MaxAttempts, 1) && time.Until(t.due) > 2*time.Duration(r.work.Load()) &&
+		t.b.o.Budget.Spend(t.to) {
+		t.b.o.Budget.refund(t.to)
+		stream(io.Discard, io.LimitReader(p.Body, 64<<10))
+		return broken
+	}
 	return t.relay(p)
 }
 
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -42,15 +42,16 @@
 
 // Pools is the copy-on-write table of endpoints by service.
 type Pools struct {
-	site string
-	mu   sync.Mutex
-	all  map[string]*gauge
-	cur  atomic.Pointer[pool]
-	far  float64
+	site  string
+	mu    sync.Mutex
+	all   map[string]*gauge
+	cur   atomic.Pointer[pool]
+	far   float64
+	heavy float64
 }
 
-func NewPools(site string, far float64) *Pools {
-	p := &Pools{site: site, all: map[string]*gauge{}, far: far}
+func NewPools(site string, far, heavy float64) *Pools {
+	p := &Pools{site: site, all: map[string]*gauge{}, far: far, heavy: heavy}
 	p.cur.Store(&pool{by: map[string][]*remote{}})
 	return p
 }
@@ -98,7 +99,11 @@
 
 // pick takes the endpoint that should answer first; bytes between sites count
 // against the far ones.
-func (p *Pools) pick(service string, tried []*remote) *remote {
+func (p *Pools) pick(service string, heavy bool, tried []*remote) *remote {
+	far := p.far
+	if heavy {
+		far = p.heavy
+	}
 	var best, spare *remote
 	var bs float64
 	now := time.Now().UnixNano()
@@ -130,7 +135,7 @@
 			s *= 2
 		}
 		if r.site != p.site {
-			s *= p.far
+			s *= far
 		}
 		s *= 1 + 0.3*rand.Float64()
 		if best == nil || s < bs {
