--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -108,7 +108,7 @@
 	ag.OnView = pools.Set
 	ag.Start(&trunk.NodeState{Name: o.Self.NodeName, Life: ag.Life, Addr: o.InnerAddr(), Inbound: o.Network.Listen.Inbound,
 		Site: o.Self.SiteName, Service: o.Self.ServiceName, State: "up"})
-	sub := subscriber.New(subscriber.Options{Service: o.Self.ServiceName, Beat: options.Secs(o.Platform.BeatS), Missed: 3, Queue: 1,
+	sub := subscriber.New(subscriber.Options{Service: o.Self.ServiceName, Beat: options.Secs(o.Platform.BeatS), Missed: 3, Queue: 1.5,
 		Note: p.note("subscriber"), Changed: func(l subscriber.Life) {
 			ag.Set(func(n *trunk.NodeState) {
 				n.Endpoint = &trunk.Endpoint{Id: l.ID, Service: o.Self.ServiceName, Addr: o.Self.AppAddr, Site: o.Self.SiteName,
@@ -119,7 +119,7 @@
 	app := trunk.Transport(300*time.Millisecond, 0, 4*time.Second, 64)
 	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: o.Self.AppAddr, Desk: sub, Line: app, Note: p.note("inbound"),
 		Suspect: func() {}, Peek: 64 << 10})
-	between := trunk.Transport(250*time.Millisecond, 1500*time.Millisecond, 30*time.Second, 64)
+	between := trunk.Transport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
 	between.ExpectContinueTimeout = time.Second
 	budget := switchboard.NewBudget(bd.RetryRatio/2, max(bd.RetrySlack/2/16, 1))
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -63,24 +63,36 @@
 	Changed func(Life)
 }
 
+// Place orders the queue: what can still be answered in time goes first, then
+// by rank and deadline.
+type Place struct {
+	Late bool
+	Rank int
+	Due  time.Time
+}
+
+func (p Place) before(o Place) bool {
+	if p.Late != o.Late {
+		return o.Late
+	}
+	if p.Rank != o.Rank {
+		return p.Rank < o.Rank
+	}
+	return p.Due.Before(o.Due)
+}
+
 type seat struct {
-	rank int
-	due  time.Time
-	ch   chan Reason
-	ix   int
+	Place
+	ch chan Reason
+	ix int
 }
 
 type line []*seat
 
-func (l line) Len() int { return len(l) }
-func (l line) Less(i, j int) bool {
-	if l[i].rank != l[j].rank {
-		return l[i].rank < l[j].rank
-	}
-	return l[i].due.Before(l[j].due)
-}
-func (l line) Swap(i, j int) { l[i], l[j] = l[j], l[i]; l[i].ix, l[j].ix = i, j }
-func (l *line) Push(x any)   { s := x.(*seat); s.ix = len(*l); *l = append(*l, s) }
+func (l line) Len() int           { return len(l) }
+func (l line) Less(i, j int) bool { return l[i].before(l[j].Place) }
+func (l line) Swap(i, j int)      { l[i], l[j] = l[j], l[i]; l[i].ix, l[j].ix = i, j }
+func (l *line) Push(x any)        { s := x.(*seat); s.ix = len(*l); *l = append(*l, s) }
 func (l *line) Pop() any {
 	o := *l
 	s := o[len(o)-1]
@@ -284,9 +296,10 @@
 	}
 }
 
-// Admit waits for a slot by rank and deadline. With None the caller holds a
-// slot of the life id and must call the release it gets.
-func (d *Desk) Admit(ctx context.Context, id string, rank int, due time.Time, most time.Duration) (func(), Reason) {
+// Admit waits for a slot by rank and deadline, or turns away at once where the
+// answer would come later than most. With None the caller holds a slot of the
+// life id and must call the release it gets.
+func (d *Desk) Admit(ctx context.Context, id string, at Place, most time.Duration) (func(), Reason) {
 	d.mu.Lock()
 	if r := d.open(id); r != None {
 		d.mu.Unlock()
@@ -300,19 +313,19 @@
 	now := d.o.Now()
 	ahead := 1
 	for _, s := range d.wait {
-		if s.rank <= rank {
+		if !at.before(s.Place) {
 			ahead++
 		}
 	}
 	est := d.work * time.Duration(ahead) / time.Duration(max(d.life.Slots, 1))
-	if est > most || now.Add(est+d.work/2).After(due) || len(d.wait) >= int(d.o.Queue*float64(d.life.Slots))+2 {
+	if est+d.work > most || len(d.wait) >= int(d.o.Queue*float64(d.life.Slots))+2 {
 		d.mu.Unlock()
 		return nil, Full
 	}
-	s := &seat{rank: rank, due: due, ch: make(chan Reason, 1)}
+	s := &seat{Place: at, ch: make(chan Reason, 1)}
 	heap.Push(&d.wait, s)
 	d.mu.Unlock()
-	t := time.NewTimer(due.Sub(now))
+	t := time.NewTimer(at.Due.Sub(now))
 	defer t.Stop()
 	r := Quit
 	select {
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -66,7 +66,7 @@
 					r.back = make(chan struct{})
 					late := drained
 					go func() {
-						r.free, r.why = d.Admit(ctx, "a", who, time.Now().Add(time.Hour), time.Hour)
+						r.free, r.why = d.Admit(ctx, "a", Place{Rank: who, Due: time.Now().Add(time.Hour)}, time.Hour)
 						close(r.back)
 					}()
 					synctest.Wait()
@@ -115,7 +115,7 @@
 			qt.Check(t, d.Life().ID, qt.Equals, life)
 			qt.Check(t, d.Beat(beat("a", "ready", 9)), qt.IsFalse, qt.Commentf("an ended life came back"))
 			qt.Check(t, d.Life().ID, qt.Equals, "b")
-			free, why := d.Admit(ctx, "b", 0, time.Now().Add(time.Hour), time.Hour)
+			free, why := d.Admit(ctx, "b", Place{Due: time.Now().Add(time.Hour)}, time.Hour)
 			qt.Check(t, why, qt.Equals, None)
 			free()
 		})
@@ -131,17 +131,18 @@
 		d.Beat(b)
 		var held []func()
 		for i := 0; i < 4; i++ {
-			f, why := d.Admit(context.Background(), "a", 0, time.Now().Add(time.Minute), time.Minute)
+			f, why := d.Admit(context.Background(), "a", Place{Due: time.Now().Add(time.Minute)}, time.Minute)
 			qt.Assert(t, why, qt.Equals, None)
 			held = append(held, f)
 		}
 		got := make(chan string, 8)
 		for _, x := range []struct {
+			late bool
 			rank int
 			due  time.Duration
-		}{{2, 10}, {1, 30}, {1, 20}, {0, 40}} {
+		}{{false, 2, 10}, {false, 1, 30}, {true, 0, 5}, {false, 1, 20}, {false, 0, 40}} {
 			go func() {
-				f, why := d.Admit(context.Background(), "a", x.rank, time.Now().Add(x.due*time.Second), time.Minute)
+				f, why := d.Admit(context.Background(), "a", Place{x.late, x.rank, time.Now().Add(x.due * time.Second)}, time.Minute)
 				got <- fmt.Sprintf("%d %d %s", x.rank, int(x.due), why)
 				if f != nil {
 					f()
@@ -151,7 +152,7 @@
 		}
 		held[0]()
 		synctest.Wait()
-		for _, w := range []string{"0 40", "1 20", "1 30", "2 10"} {
+		for _, w := range []string{"0 40", "1 20", "1 30", "2 10", "0 5"} {
 			qt.Check(t, <-got, qt.Equals, w+" ")
 		}
 	})
@@ -163,11 +164,11 @@
 	d.Beat(beat("a", "ready", 1))
 	now = now.Add(3500 * time.Millisecond)
 	d.Tick()
-	_, why := d.Admit(context.Background(), "a", 0, now.Add(time.Second), time.Second)
+	_, why := d.Admit(context.Background(), "a", Place{Due: now.Add(time.Second)}, time.Second)
 	qt.Check(t, why, qt.Equals, Unsound)
 	qt.Check(t, d.Beat(beat("a", "ready", 1)), qt.IsFalse)
 	qt.Check(t, d.Beat(beat("a", "ready", 2)), qt.IsTrue)
-	f, why := d.Admit(context.Background(), "a", 0, now.Add(time.Second), time.Second)
+	f, why := d.Admit(context.Background(), "a", Place{Due: now.Add(time.Second)}, time.Second)
 	qt.Check(t, why, qt.Equals, None)
 	f()
 }
--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -33,8 +33,8 @@
 	hdrReason  = "X-Corkcove-Reason"
 	hdrLoad    = "X-Corkcove-Load"
 	hdrRank    = "X-Corkcove-Rank"
-	hdrKind    = "X-Corkcove-Kind"
-	hdrLife    = "X-Corkcove-Life"
+	hdrWait    = "X-Corkcove-Wait"
+	hdrLate    = "X-Corkcove-Late"
 )
 
 // What an inbound node says of a dispatch that brought no answer.
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -103,8 +103,11 @@
 }
 
 func (v *visit) admit() bool {
-	left := time.Until(v.due)
-	free, why := v.n.o.Desk.Admit(v.ctx, v.life, v.rank, v.due, left/2)
+	most := time.Until(v.due)
+	if n, err := strconv.ParseInt(v.r.Header.Get(hdrWait), 10, 32); err == nil {
+		most = min(most, time.Duration(n)*time.Millisecond)
+	}
+	free, why := v.n.o.Desk.Admit(v.ctx, v.life, subscriber.Place{Late: v.r.Header.Get(hdrLate) != "", Rank: v.rank, Due: v.due}, most)
 	if why != subscriber.None {
 		return v.say(sayBounced, string(why))
 	}
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +66,27 @@
 	Running atomic.Int64
 	leaving atomic.Bool
 	Tally   [9]atomic.Int64
+	longest longest
+}
+
+// longest keeps the longest wait seen on each binding: a request with less
+// time left than that has been tried before, or is part of another.
+type longest struct {
+	mu sync.Mutex
+	m  map[string]time.Duration
+}
+
+func (l *longest) first(n string, d time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.m == nil {
+		l.m = map[string]time.Duration{}
+	}
+	if d >= l.m[n] {
+		l.m[n] = d
+		return true
+	}
+	return d > l.m[n]*19/20
 }
 
 func NewOutbound(o OutboundOptions) *Outbound { return &Outbound{o: o} }
@@ -88,9 +110,13 @@
 	rest    io.Reader
 	started bool
 
+	fresh    bool
+	again    time.Duration
 	arrivals int
 	mayRun   bool
 	tried    []*remote
+	ran      []*remote
+	short    bool
 }
 
 func (t *trip) later(f func()) { t.clean = append(t.clean, f) }
@@ -102,7 +128,8 @@
 	h["Date"] = nil
 	h["Content-Type"] = []string{"text/plain"}
 	if x.again > 0 {
-		d := x.again + time.Duration(rand.Int64N(int64(x.again)))
+		d := max(x.again, min(t.again, time.Second))
+		d += time.Duration(rand.Int64N(int64(d)))
 		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", strconv.Itoa(len(x.text)))
@@ -165,6 +192,7 @@
 		}
 	}
 	t.due = t.t0.Add(left)
+	t.fresh = t.b.longest.first(t.route.Name, left)
 	ctx, stop := context.WithDeadline(t.r.Context(), t.due)
 	t.later(stop)
 	t.ctx = ctx
@@ -192,6 +220,9 @@
 	return false
 }
 
+// shortTries endpoints are asked for a short wait, then the best for a long one.
+const shortTries = 2
+
 type result int
 
 const (
@@ -211,6 +242,9 @@
 		if time.Now().After(t.due) || t.ctx.Err() != nil {
 			break
 		}
+		if full == shortTries {
+			t.tried = t.ran
+		}
 		r := t.b.o.Pools.pick(t.to, t.heavy(), t.tried)
 		if r == nil {
 			if full > 0 || n > 0 || !t.pause(20*time.Millisecond) {
@@ -222,11 +256,22 @@
 			break
 		}
 		t.tried = append(t.tried, r)
-		switch t.send(r) {
+		t.short = full < shortTries
+		res := t.send(r)
+		if res == turned || res == broken {
+			t.ran = append(t.ran, r)
+		}
+		switch res {
 		case answered:
 			return true
 		case bounced:
 			full++
+			if e := r.wait(); t.again == 0 || e < t.again {
+				t.again = e
+			}
+			if full > shortTries {
+				return t.give(refused)
+			}
 			if t.arrivals > 0 {
 				t.b.o.Budget.refund(t.to)
 			}
@@ -300,7 +345,20 @@
 	out[hdrCaller] = []string{t.b.o.Service}
 	out[hdrExpect] = []string{r.id}
 	out[hdrRank] = []string{strconv.Itoa(t.route.Rank)}
-	out[hdrDeadline] = []string{millis(time.Until(t.due) - t.b.o.Margin)}
+	left := time.Until(t.due) - t.b.o.Margin
+	out[hdrDeadline] = []string{millis(left)}
+	if w := t.route.Target - time.Since(t.t0); t.fresh && t.route.Target > 0 {
+		left = min(left, w)
+	} else {
+		left /= 2
+	}
+	if t.short {
+		left = min(left, time.Duration(r.work.Load())*3/2)
+	}
+	out[hdrWait] = []string{millis(left)}
+	if !t.fresh {
+		out[hdrLate] = []string{"1"}
+	}
 	if _, ok := out["User-Agent"]; !ok {
 		out["User-Agent"] = []string{""}
 	}
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -95,6 +95,11 @@
 	r.heard.Store(time.Now().UnixNano())
 }
 
+// wait is how long a request that comes now would stand in the queue there.
+func (r *remote) wait() time.Duration {
+	return time.Duration(max(r.load.Load()-r.slots+1, 0) * r.work.Load() / r.slots)
+}
+
 func (r *remote) shun(d time.Duration) { r.shunned.Store(time.Now().Add(d).UnixNano()) }
 
 // pick takes the endpoint that should answer first; bytes between sites count
