--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -59,9 +59,13 @@
 	conf   uint64
 }
 
-func (c *coreNode) SaveView(ctx context.Context, stamp uint64) error {
-	_, err := numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, bool) {
-		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: stamp}}, true
+func (c *coreNode) SaveView(ctx context.Context, v *trunk.View) error {
+	data, err := proto.Marshal(v)
+	if err != nil {
+		return err
+	}
+	_, err = numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, bool) {
+		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: v.Stamp, Data: data}}, true
 	})
 	return err
 }
@@ -102,8 +106,11 @@
 	st, doc := config(t)
 	c.conf = st
 	u, r := users(t), c.board.Roll()
-	vs := t.Blob(viewBlob).GetStamp()
-	c.master.Loop.Put(func() { c.master.Lead(epoch, vs, u, st, doc, r) })
+	kept := &trunk.View{}
+	if b := t.Blob(viewBlob); b != nil && proto.Unmarshal(b.Data, kept) != nil {
+		kept = &trunk.View{Stamp: b.Stamp}
+	}
+	c.master.Loop.Put(func() { c.master.Lead(epoch, kept, u, st, doc, r) })
 }
 
 func (c *coreNode) onCommit(i int) {
@@ -159,7 +166,7 @@
 		r.Data = g.doc
 	}
 	r.View, _ = exchange.Ask(c.master.Loop, func() *trunk.View {
-		if v := c.master.View(); c.master.Leading() && v.Stamp > 0 {
+		if v := c.master.View(); c.master.Leading() && v.Epoch > 0 {
 			return v
 		}
 		return nil
@@ -203,7 +210,7 @@
 	loop := exchange.NewLoop()
 	c := &coreNode{process: p, loop: loop, svc: numbering.NewService(loop, shards)}
 	c.master = supervisor.NewMaster(supervisor.Options{
-		Interval: 400 * time.Millisecond, Settle: 100 * time.Millisecond, Transition: 250 * time.Millisecond, Linger: time.Second,
+		Interval: 250 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond, Linger: time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
 		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: p.trace,
 	}, exchange.NewLoop(), lines, c)
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -160,7 +160,7 @@
 	go bs.Serve(ls[4])
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	go ag.Run(ctx, 250*time.Millisecond)
+	go ag.Run(ctx, 120*time.Millisecond)
 	go func() {
 		t := time.NewTicker(250 * time.Millisecond)
 		defer t.Stop()
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -17,7 +17,7 @@
 		b.seek()
 		return
 	}
-	if now-b.lastHold >= b.o.Beat {
+	if now-b.lastHold >= b.o.Beat || b.reach() < b.majority() && now-b.lastHold >= b.o.Beat/5 {
 		b.lastHold = now
 		b.beat()
 	}
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -84,6 +84,9 @@
 	a.cut = c
 	n, w := a.node, a.wake
 	behind := q.ConfigStamp > a.conf
+	if a.last == nil {
+		a.last = q.Last
+	}
 	a.mu.Unlock()
 	if behind {
 		go a.fetch(q.Master)
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -4,14 +4,12 @@
 	"context"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"corkcove/internal/exchange"
 	"corkcove/internal/trunk"
 )
 
 type Store interface {
-	SaveView(ctx context.Context, stamp uint64) error
+	SaveView(ctx context.Context, v *trunk.View) error
 }
 
 type Options struct {
@@ -82,15 +80,17 @@
 	}
 }
 
-// Lead makes this process the master under the epoch of shard 0.
-func (m *Master) Lead(epoch, viewStamp uint64, users map[string]string, conf uint64, doc []byte, roll *trunk.Roll) {
+// Lead makes this process the master under the epoch of shard 0, which also
+// keeps the last view that was published.
+func (m *Master) Lead(epoch uint64, kept *trunk.View, users map[string]string, conf uint64, doc []byte, roll *trunk.Roll) {
 	now := m.o.Now()
-	m.note("master under epoch %d, view %d, configuration %d", epoch, viewStamp, conf)
+	if kept.GetStamp() > m.view.Stamp {
+		m.view = kept
+	}
+	m.note("master under epoch %d, view %d, configuration %d", epoch, m.view.Stamp, conf)
 	m.leading, m.epoch, m.since, m.made, m.changed = true, epoch, now, now, now
 	m.users, m.roll = users, roll
-	v := proto.Clone(m.view).(*trunk.View)
-	v.Stamp = max(v.Stamp, viewStamp)
-	m.view = v
+	v := m.view
 	m.making = false
 	m.sends = map[string]*courier{}
 	for _, e := range v.Endpoints {
@@ -228,10 +228,11 @@
 	c := m.lines.Node(addr)
 	st := m.hs[name].state
 	life, seq, conf := st.GetLife(), uint64(0), m.conf
+	last := m.hs[name].last
 	go func() {
 		for ctx.Err() == nil {
 			cx, cancel := context.WithTimeout(ctx, m.o.Linger+m.o.Grace)
-			r, err := c.Poll(cx, &trunk.PollReq{Epoch: ep, Life: life, Seq: seq, LingerMs: uint64(m.o.Linger / time.Millisecond), ConfigStamp: conf, Master: m.o.Me, Name: name})
+			r, err := c.Poll(cx, &trunk.PollReq{Epoch: ep, Life: life, Seq: seq, LingerMs: uint64(m.o.Linger / time.Millisecond), ConfigStamp: conf, Master: m.o.Me, Name: name, Last: last})
 			cancel()
 			if ctx.Err() != nil {
 				return
@@ -257,7 +258,10 @@
 					return
 				}
 				m.heard(name, h, r.Node)
-				life, seq = r.Node.Life, r.Node.Seq
+				life, seq, last = r.Node.Life, r.Node.Seq, nil
+				if r.Node.Endpoint == nil {
+					last = h.last
+				}
 			})
 			select {
 			case <-done:
@@ -335,7 +339,7 @@
 	go func() {
 		ctx, stop := context.WithTimeout(context.Background(), 2*time.Second)
 		defer stop()
-		err := m.store.SaveView(ctx, v.Stamp)
+		err := m.store.SaveView(ctx, v)
 		m.Loop.Put(func() {
 			if m.epoch != ep || !m.leading {
 				return
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -438,7 +438,7 @@
 		case "draining", "other-life":
 			r.drained.Store(true)
 		case "unsound", "no-life", "stopping":
-			r.shun(500 * time.Millisecond)
+			r.shun(200 * time.Millisecond)
 		}
 		return bounced
 	case sayRefused:
