--- /dev/null
+++ b/internal/supervisor/supervisor_test.go
@@ -0,0 +1,264 @@
+package supervisor
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corkcove/internal/exchange"
+	"corkcove/internal/trunk"
+)
+
+var ru = rules{window: time.Minute, limit: 3, fails: 2, silent: 700 * time.Millisecond}
+
+func state(id, st string, cold uint64) *trunk.NodeState {
+	n := &trunk.NodeState{Name: "n", Inbound: "in", State: "up"}
+	if id != "" {
+		n.Endpoint = &trunk.Endpoint{Id: id, State: st, Sound: true, ColdMs: cold, Slots: 4}
+	}
+	return n
+}
+
+func TestHistoryAndUserStatesShapeTheOfficialState(t *testing.T) {
+	h := &history{}
+	h.report(state("a", "ready", 0), 0, ru)
+	qt.Assert(t, h.official(""), qt.Equals, Up)
+	for user, want := range map[string]string{Up: Up, Maintenance: Down, Down: Down, Retired: Draining} {
+		qt.Assert(t, h.official(user), qt.Equals, want)
+	}
+	h.missed(100*time.Millisecond, ru)
+	qt.Assert(t, h.official(""), qt.Equals, Up)
+	h.missed(800*time.Millisecond, ru)
+	qt.Assert(t, h.official(""), qt.Equals, Down)
+	h.report(state("a", "draining", 0), time.Second, ru)
+	qt.Assert(t, h.official(""), qt.Equals, Draining)
+	qt.Assert(t, h.official(Down), qt.Equals, Down)
+}
+
+func TestEndpointThatDiedColdStaysDownUntilItIsWarm(t *testing.T) {
+	h := &history{}
+	h.report(state("a", "ready", 2000), 0, ru)
+	qt.Assert(t, h.official(""), qt.Equals, Up)
+	h.report(state("b", "ready", 3000), time.Second, ru)
+	qt.Assert(t, h.official(""), qt.Equals, Down)
+	h.report(state("b", "ready", 0), 4*time.Second, ru)
+	qt.Assert(t, h.official(""), qt.Equals, Up)
+}
+
+func TestCrashLoopIsSetOutButOrderlyEndsAreNot(t *testing.T) {
+	h := &history{}
+	for i := 0; i < 8; i++ {
+		h.report(state(fmt.Sprint("o", i), "ready", 0), 0, ru)
+		h.report(state(fmt.Sprint("o", i), "draining", 0), 0, ru)
+		h.report(state(fmt.Sprint("o", i), "gone", 0), 0, ru)
+	}
+	qt.Assert(t, h.setOut, qt.IsFalse)
+	for i := 0; i < 4; i++ {
+		h.report(state(fmt.Sprint("c", i), "ready", 0), time.Duration(i)*time.Second, ru)
+	}
+	qt.Assert(t, h.setOut, qt.IsTrue)
+	qt.Assert(t, h.official(""), qt.Equals, Down)
+}
+
+type fakeNode struct {
+	mu    sync.Mutex
+	agent *Agent
+	views []uint64
+	confs []uint64
+	cut   bool
+}
+
+func (f *fakeNode) off() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut
+}
+
+func (f *fakeNode) set(cut bool) {
+	f.mu.Lock()
+	f.cut = cut
+	f.mu.Unlock()
+}
+
+var errCut = fmt.Errorf("cut off")
+
+func (f *fakeNode) Poll(c context.Context, q *trunk.PollReq) (*trunk.PollResp, error) {
+	if f.off() {
+		<-c.Done()
+		return nil, errCut
+	}
+	return f.agent.Poll(c, q)
+}
+
+func (f *fakeNode) Publish(c context.Context, q *trunk.ViewReq) (*trunk.ViewResp, error) {
+	if f.off() {
+		return nil, errCut
+	}
+	return f.agent.Publish(c, q)
+}
+
+func (f *fakeNode) Deliver(c context.Context, q *trunk.DeliverReq) (*trunk.DeliverResp, error) {
+	if f.off() {
+		return nil, errCut
+	}
+	return f.agent.Deliver(c, q)
+}
+
+type deadEnd struct{}
+
+func (deadEnd) RoundTrip(*http.Request) (*http.Response, error) { return nil, errCut }
+
+type saved struct{ v *trunk.View }
+
+func (s *saved) SaveView(_ context.Context, v *trunk.View) error { s.v = v; return nil }
+
+type stage struct {
+	m    *Master
+	st   *saved
+	ns   []*fakeNode
+	last [][]*trunk.Endpoint
+}
+
+func newStage(t *testing.T, n int) *stage {
+	t0 := time.Now()
+	now := func() time.Duration { return time.Since(t0) }
+	s := &stage{st: &saved{}, last: make([][]*trunk.Endpoint, n)}
+	lines := trunk.NewLines(&http.Client{Transport: deadEnd{}})
+	s.m = NewMaster(Options{Interval: 250 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond,
+		Linger: time.Second, Grace: 500 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2, Me: "m", Now: now}, exchange.NewLoop(), lines, s.st)
+	for i := 0; i < n; i++ {
+		f := &fakeNode{}
+		a := &Agent{Name: fmt.Sprint("n", i), Life: "l", Quiet: time.Second, Now: now, Note: func(string, ...any) {}, Lines: lines}
+		a.OnView = func(v *trunk.View) {
+			f.mu.Lock()
+			f.views = append(f.views, v.Stamp)
+			s.last[i] = v.Endpoints
+			f.mu.Unlock()
+		}
+		a.OnConfig = func(st uint64, _ []byte) error {
+			f.mu.Lock()
+			f.confs = append(f.confs, st)
+			f.mu.Unlock()
+			return nil
+		}
+		a.Start(&trunk.NodeState{Name: a.Name, Life: "l", Addr: fmt.Sprint("a", i), Inbound: fmt.Sprint("i", i), State: "up",
+			Endpoint: &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", State: "ready", Sound: true, Slots: 4}})
+		f.agent = a
+		lines.PutNode(fmt.Sprint("a", i), f)
+		s.ns = append(s.ns, f)
+	}
+	go s.m.Loop.Run(50*time.Millisecond, s.m.Tick)
+	return s
+}
+
+func (s *stage) do(f func()) {
+	exchange.Ask(s.m.Loop, func() bool { f(); return true })
+	synctest.Wait()
+}
+
+func (s *stage) hello() {
+	for _, n := range s.ns {
+		s.do(func() { s.m.Hello(n.agent.node) })
+	}
+}
+
+func pass(d time.Duration) { <-time.After(d); synctest.Wait() }
+
+func (s *stage) count(i int) int {
+	s.ns[i].mu.Lock()
+	defer s.ns[i].mu.Unlock()
+	return len(s.last[i])
+}
+
+func TestChangesWithinTheSettleTimeMakeOneView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t, 4)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		s.do(func() { s.m.Lead(1, nil, map[string]string{}, 3, []byte("c"), &trunk.Roll{Stamp: 1}) })
+		s.hello()
+		pass(2 * time.Second)
+		qt.Assert(t, s.count(0), qt.Equals, 4)
+		qt.Assert(t, s.ns[0].confs, qt.DeepEquals, []uint64{3})
+		before := s.st.v.Stamp
+		for _, f := range s.ns[1:] {
+			f.agent.Set(func(n *trunk.NodeState) { n.Endpoint.State = "draining" })
+		}
+		pass(time.Second)
+		qt.Assert(t, s.st.v.Stamp, qt.Equals, before+1)
+		s.do(func() { s.m.SetUsers(map[string]string{"n0": Down}) })
+		pass(time.Second)
+		qt.Assert(t, s.count(0), qt.Equals, 3)
+	})
+}
+
+func TestMasterBackInOfficePollsAfreshAndKeepsItsNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t, 3)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		s.do(func() { s.m.Lead(1, nil, map[string]string{}, 3, []byte("c"), &trunk.Roll{Stamp: 1}) })
+		s.hello()
+		pass(2 * time.Second)
+		for _, f := range s.ns {
+			f.set(true)
+		}
+		pass(6 * time.Second)
+		s.do(s.m.Step)
+		for _, f := range s.ns {
+			f.set(false)
+		}
+		kept := s.st.v
+		s.do(func() { s.m.Lead(2, kept, map[string]string{}, 5, []byte("d"), &trunk.Roll{Stamp: 1}) })
+		s.hello()
+		pass(1500 * time.Millisecond)
+		for i, f := range s.ns {
+			qt.Check(t, f.confs[len(f.confs)-1], qt.Equals, uint64(5))
+			qt.Check(t, s.count(i), qt.Equals, 3)
+		}
+	})
+}
+
+func TestColdMasterFindsItsNodesInTheKeptView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t, 3)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		kept := &trunk.View{Epoch: 1, Stamp: 9, NodeLines: []string{"n0 a0", "n1 a1", "n2 a2"}}
+		s.do(func() { s.m.Lead(2, kept, map[string]string{}, 5, []byte("d"), &trunk.Roll{Stamp: 1}) })
+		pass(600 * time.Millisecond)
+		qt.Assert(t, s.st.v.Stamp > 9, qt.IsTrue)
+		qt.Assert(t, s.count(1), qt.Equals, 3)
+		qt.Assert(t, s.ns[2].confs, qt.DeepEquals, []uint64{5})
+	})
+}
+
+func TestNodesRefuseALowerEpochAndAnOlderStamp(t *testing.T) {
+	got := 0
+	a := &Agent{Name: "n", Life: "l", Now: func() time.Duration { return 0 }, Note: func(string, ...any) {},
+		OnView: func(*trunk.View) { got++ }, OnConfig: func(uint64, []byte) error { return nil }}
+	a.Start(&trunk.NodeState{Name: "n"})
+	c := context.Background()
+	pub := func(e, s uint64) bool {
+		r, _ := a.Publish(c, &trunk.ViewReq{View: &trunk.View{Epoch: e, Stamp: s}})
+		return r.Ok
+	}
+	qt.Assert(t, pub(2, 5), qt.IsTrue)
+	qt.Assert(t, pub(1, 9), qt.IsFalse)
+	qt.Assert(t, pub(2, 4), qt.IsFalse)
+	qt.Assert(t, pub(2, 5), qt.IsTrue)
+	qt.Assert(t, pub(3, 6), qt.IsTrue)
+	qt.Assert(t, got, qt.Equals, 2)
+	r, _ := a.Poll(c, &trunk.PollReq{Epoch: 2, Name: "n"})
+	qt.Assert(t, r.Stale, qt.IsTrue)
+	qt.Assert(t, r.Epoch, qt.Equals, uint64(3))
+	a.Deliver(c, &trunk.DeliverReq{Epoch: 3, Stamp: 8})
+	d, _ := a.Deliver(c, &trunk.DeliverReq{Epoch: 3, Stamp: 7})
+	qt.Assert(t, d.Stamp, qt.Equals, uint64(8))
+}
--- a/internal/trunk/net.go
+++ b/internal/trunk/net.go
@@ -85,3 +85,10 @@
 	defer stop()
 	return f(ctx, q)
 }
+
+// PutNode stands a node in for the one at an address.
+func (l *Lines) PutNode(addr string, n Node) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.nds[addr] = n
+}
