--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -22,6 +22,7 @@
 	"corkcove/internal/options"
 	"corkcove/internal/supervisor"
 	"corkcove/internal/tollbook"
+	"corkcove/internal/tracer"
 	"corkcove/internal/trunk"
 )
 
@@ -126,6 +127,40 @@
 	}
 }
 
+// SetState keeps a user state beside the others in shard 0; the master caps the
+// node's state with it from the next view on.
+func (c *coreNode) SetState(ctx context.Context, q *trunk.SetStateReq) (*trunk.SetStateResp, error) {
+	if !supervisor.UserState(q.State) {
+		return &trunk.SetStateResp{Why: "a state is one of up, maintenance, retired, down"}, nil
+	}
+	held := c.board.Held()
+	known, _ := exchange.Ask(c.master.Loop, func() bool { return c.master.Knows(q.Node) })
+	if !held {
+		return &trunk.SetStateResp{Why: "not the master", MasterAddr: c.masterAddr()}, nil
+	}
+	if !known {
+		return &trunk.SetStateResp{Why: "no node " + strconv.Quote(q.Node) + " is known"}, nil
+	}
+	u, err := numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, map[string]string) {
+		u := users(t)
+		if q.State == supervisor.Up {
+			delete(u, q.Node)
+		} else {
+			u[q.Node] = q.State
+		}
+		data, err := proto.Marshal(&trunk.UserStates{States: u})
+		if err != nil {
+			return nil, nil
+		}
+		return &trunk.Change{Blob: &trunk.Blob{Name: usersBlob, Data: data}}, u
+	})
+	if err != nil || u == nil {
+		return &trunk.SetStateResp{Why: "the state may or may not have been kept; ask again"}, nil
+	}
+	c.master.Loop.Put(func() { c.master.SetUsers(u, q.Node) })
+	return &trunk.SetStateResp{Ok: true}, nil
+}
+
 func (c *coreNode) masterAddr() string {
 	a, _ := exchange.Ask(c.loop, func() string {
 		if m, ok := c.board.Owner(0); ok {
@@ -212,7 +247,8 @@
 	c.master = supervisor.NewMaster(supervisor.Options{
 		Interval: 250 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond, Linger: time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
-		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: p.trace,
+		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
+		Held: func() bool { return c.board.Held() },
 	}, exchange.NewLoop(), lines, c)
 	hist := options.Secs(o.Terms.Bounds.HistoryS)
 	c.board, err = exchange.New(exchange.Options{
@@ -235,9 +271,12 @@
 	mux.Handle(trunk.ExchangePathPrefix, trunk.NewExchangeServer(door))
 	mux.Handle(trunk.ControlPathPrefix, trunk.NewControlServer(c))
 	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(c))
+	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{process: p}))
 	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
 	go is.Serve(inner)
-	cs := &http.Server{Handler: desk.NewCore(c.svc, 650*time.Millisecond), IdleTimeout: time.Minute, ReadHeaderTimeout: 5 * time.Second}
+	api := desk.NewCore(c.svc, 650*time.Millisecond)
+	api.Acked = func(stamp uint64) { p.trace(tracer.Config, "acknowledged", c.board.Epoch0(), stamp) }
+	cs := &http.Server{Handler: api, IdleTimeout: time.Minute, ReadHeaderTimeout: 5 * time.Second}
 	go cs.Serve(ctl)
 	go c.master.Loop.Run(tick, c.master.Tick)
 	go loop.Run(tick, c.board.Tick)
@@ -252,6 +291,7 @@
 		break
 	}
 	p.note("core")("stops")
+	api.Leave()
 	loop.Put(c.board.Leave)
 	end := time.Now().Add(min(options.Secs(o.Terms.Bounds.GraceS)*6/10, 3*time.Second))
 	for time.Now().Before(end) {
@@ -260,10 +300,7 @@
 		}
 		time.Sleep(tick)
 	}
-	cs.SetKeepAlivesEnabled(false)
-	ctx, stop := context.WithTimeout(context.Background(), 700*time.Millisecond)
-	defer stop()
-	cs.Shutdown(ctx)
+	time.Sleep(6 * tick)
 	loop.Close()
 	book.Close()
 	return nil
--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -15,6 +15,7 @@
 	"corkcove/internal/dialplan"
 	"corkcove/internal/options"
 	"corkcove/internal/ringlog"
+	"corkcove/internal/tracer"
 )
 
 var version = "0.1.0"
@@ -62,11 +63,12 @@
 }
 
 type process struct {
-	path string
-	role string
-	o    options.Options
-	ring *ringlog.Ring
-	t0   time.Time
+	path  string
+	role  string
+	o     options.Options
+	ring  *ringlog.Ring
+	steps *tracer.Ring
+	t0    time.Time
 }
 
 func (p *process) now() time.Duration { return time.Since(p.t0) }
@@ -75,10 +77,6 @@
 	return func(f string, a ...any) { p.ring.Note(area, f, a...) }
 }
 
-func (p *process) trace(step string, epoch, stamp uint64, detail string) {
-	p.ring.Note("trace", "%s %d under epoch %d %s", step, stamp, epoch, detail)
-}
-
 // reload takes the settings file again; a bad one leaves the old in force.
 func (p *process) reload() {
 	o, err := options.Load(p.path, p.role)
@@ -106,7 +104,7 @@
 	}
 	log.SetOutput(io.Discard)
 	klog.LogToStderr(true)
-	p := &process{path: file, role: role, o: o, ring: ringlog.New(256, 5*time.Second, chatty), t0: time.Now()}
+	p := &process{path: file, role: role, o: o, ring: ringlog.New(256, 5*time.Second, chatty), steps: tracer.NewRing(1024), t0: time.Now()}
 	if err := f(p); err != nil {
 		p.ring.Spill("corkcove " + role + " ends: " + err.Error())
 		fmt.Fprintln(os.Stderr, "corkcove "+role+": "+err.Error())
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -29,7 +29,6 @@
 	h   http.Handler
 	mu  sync.Mutex
 	cur *feed
-	all []*http.Server
 	lim dialplan.Limits
 }
 
@@ -77,18 +76,9 @@
 	f.lim = l
 	f.cur = &feed{ch: make(chan net.Conn), end: make(chan struct{}), a: f.l.Addr()}
 	s := &http.Server{Handler: f.h, MaxHeaderBytes: l.HeaderBytes, ReadHeaderTimeout: l.Header, IdleTimeout: l.Idle}
-	f.all = append(f.all, s)
 	go s.Serve(f.cur)
 }
 
-func (f *front) quiet() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, s := range f.all {
-		s.SetKeepAlivesEnabled(false)
-	}
-}
-
 func runSidecar(p *process) error {
 	o := p.o
 	var ls [5]net.Listener
@@ -140,6 +130,8 @@
 	var leaving atomic.Bool
 	mux := http.NewServeMux()
 	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(ag))
+	far, heavy := pools.Weights()
+	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{p, out.Flows, far, heavy}))
 	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
 	go is.Serve(ls[0])
 	ins := &http.Server{Handler: in, IdleTimeout: 2 * time.Minute}
@@ -181,7 +173,6 @@
 	t0 := time.Now()
 	leaving.Store(true)
 	out.Leave()
-	fr.quiet()
 	grace := options.Secs(bd.GraceS)
 	linger := min(grace/2, 2500*time.Millisecond)
 	closed := false
@@ -192,7 +183,6 @@
 			sub.Stop()
 			ag.Set(func(n *trunk.NodeState) { n.State = "stopping" })
 			in.Leave()
-			ins.SetKeepAlivesEnabled(false)
 		}
 		if e > grace-350*time.Millisecond || e > linger && in.Running.Load() == 0 && out.Running.Load() == 0 {
 			break
--- /dev/null
+++ b/cmd/corkcove/tracing.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"corkcove/internal/desk"
+	"corkcove/internal/exchange"
+	"corkcove/internal/switchboard"
+	"corkcove/internal/tracer"
+	"corkcove/internal/trunk"
+)
+
+// teller answers the tools' questions of one process.
+type teller struct {
+	*process
+	flows *switchboard.Flows
+	far   float64
+	heavy float64
+}
+
+func (t teller) Trace(_ context.Context, q *trunk.TraceReq) (*trunk.TraceResp, error) {
+	r := &trunk.TraceResp{Node: t.o.Self.NodeName, Role: t.role}
+	c, err := tracer.Parse(q.What)
+	if err != nil {
+		return nil, err
+	}
+	r.Lines = t.steps.Find(c)
+	r.Known = len(r.Lines) > 0
+	return r, nil
+}
+
+func (t teller) Flows(context.Context, *trunk.FlowsReq) (*trunk.FlowsResp, error) {
+	r := &trunk.FlowsResp{Node: t.o.Self.NodeName, Site: t.o.Self.SiteName, Far: t.far, Heavy: t.heavy}
+	if t.flows != nil {
+		f, span := t.flows.Report()
+		r.Flows, r.WindowS = f, span.Seconds()
+	}
+	return r, nil
+}
+
+func (p *process) trace(kind, what string, epoch, stamp uint64) {
+	p.steps.Add(tracer.Step{At: time.Now(), What: what, Kind: kind, Stamp: stamp, Epoch: epoch})
+	p.ring.Note("trace", "%s %d %s under epoch %d", kind, stamp, what, epoch)
+}
+
+func (c *coreNode) onStep(what string, shard int, epoch, stamp uint64, g *trunk.Change) {
+	s := tracer.Step{At: time.Now(), What: what, Shard: shard, Epoch: epoch, Mark: stamp}
+	switch {
+	case g == nil:
+	case g.Blob != nil && g.Blob.Name == desk.ConfigBlob:
+		s.Kind, s.Stamp = tracer.Config, g.Blob.Stamp
+	case g.Blob != nil && g.Blob.Name == viewBlob:
+		s.Kind, s.Stamp = tracer.View, g.Blob.Stamp
+	case g.Put != nil:
+		s.Kind, s.Stamp = "cell "+g.Put.Name, g.Put.Revision
+	default:
+		return
+	}
+	c.steps.Add(s)
+}
+
+func (c *coreNode) Status(context.Context, *trunk.StatusReq) (*trunk.StatusResp, error) {
+	r := &trunk.StatusResp{Node: c.o.Self.NodeName}
+	exchange.Ask(c.loop, func() bool {
+		r.Roll, r.Shards, r.DiskSound, r.Member = c.board.Roll(), c.board.Lines(), c.board.Sound(), !c.board.Blank()
+		if m, ok := c.board.Owner(0); ok {
+			r.MasterAddr = m.Addr
+		}
+		return true
+	})
+	exchange.Ask(c.master.Loop, func() bool {
+		r.Master = c.master.Leading() && c.board.Held()
+		v := c.master.View()
+		r.Epoch, r.View = v.Epoch, v.Stamp
+		r.Config, _ = c.master.Config()
+		if r.Master {
+			r.Nodes = c.master.Nodes()
+		}
+		return true
+	})
+	return r, nil
+}
--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -29,7 +29,7 @@
 	Svc     *numbering.Service
 	Patient time.Duration
 	Step    time.Duration
-	Trace   func(step string, epoch, stamp uint64, detail string)
+	Acked   func(stamp uint64)
 }
 
 type lockReq struct {
@@ -271,14 +271,14 @@
 }
 
 func (d *Core) putConfig(w http.ResponseWriter, c call) {
-	d.change(w, c, func(b []byte, _ *trunk.Config) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
+	d.change(w, c, func(b []byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
 		doc, err := dialplan.Read(b)
 		return doc.Stamp, func(*trunk.Config) (dialplan.Doc, error) { return doc, nil }, err
 	})
 }
 
 func (d *Core) patchConfig(w http.ResponseWriter, c call) {
-	d.change(w, c, func(b []byte, _ *trunk.Config) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
+	d.change(w, c, func(b []byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
 		p, err := dialplan.ReadPatch(b)
 		return p.Stamp, func(cur *trunk.Config) (dialplan.Doc, error) {
 			if cur.Stamp == 0 {
@@ -293,7 +293,7 @@
 	})
 }
 
-func (d *Core) change(w http.ResponseWriter, c call, read func([]byte, *trunk.Config) (uint64, func(*trunk.Config) (dialplan.Doc, error), error)) {
+func (d *Core) change(w http.ResponseWriter, c call, read func([]byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error)) {
 	b, err := body(w, c.r, maxConfig)
 	if err != nil {
 		write(w, verdict{out: tooBig(err)})
@@ -309,7 +309,7 @@
 		write(w, v)
 		return
 	}
-	stamp, make, err := read(b, cur)
+	stamp, make, err := read(b)
 	if err != nil {
 		write(w, verdict{out: unprocessable, why: err.Error()})
 		return
@@ -358,10 +358,6 @@
 		})
 	})
 	if !done {
-		if v.out == busy || v.out == elsewhere {
-			write(w, v)
-			return
-		}
 		write(w, v)
 		return
 	}
@@ -369,8 +365,8 @@
 		write(w, verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(r.now)})
 		return
 	}
-	if d.Trace != nil {
-		d.Trace("configuration acknowledged", 0, stamp, "")
+	if d.Acked != nil {
+		d.Acked(stamp)
 	}
 	write(w, verdict{body: none{}})
 }
--- a/internal/desk/outcome.go
+++ b/internal/desk/outcome.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/zeebo/errs"
 )
@@ -147,7 +148,14 @@
 }
 
 // Table finds calls by method and path, without cleaning paths.
-type Table struct{ es []entry }
+type Table struct {
+	es      []entry
+	leaving atomic.Bool
+}
+
+// Leave asks callers to go elsewhere with their next call. Idle streams stay
+// open: closing one could cut a call that is under way on it.
+func (t *Table) Leave() { t.leaving.Store(true) }
 
 func (t *Table) add(call string, f func(http.ResponseWriter, call)) {
 	m, p, _ := strings.Cut(call, " ")
@@ -155,6 +163,9 @@
 }
 
 func (t *Table) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if t.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	p := r.URL.Path
 	found := false
 	for _, e := range t.es {
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -3,6 +3,7 @@
 package exchange
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -64,6 +65,7 @@
 	OnOwner   func(shard int, own bool, epoch uint64)
 	OnCommit  func(shard int)
 	OnRoll    func(*trunk.Roll)
+	OnStep    func(step string, shard int, epoch, stamp uint64, c *trunk.Change)
 }
 
 type role int
@@ -160,6 +162,9 @@
 	survey   map[string]*trunk.SurveyResp
 	surveyAt time.Duration
 	settles  map[int]uint64
+
+	held  atomic.Int64
+	epoch atomic.Uint64
 }
 
 func New(o Options, w Wire, bk Book, recs [][]byte) (*Board, error) {
@@ -258,6 +263,12 @@
 	}
 }
 
+func (b *Board) step(step string, s *shard, epoch, stamp uint64, c *trunk.Change) {
+	if b.o.OnStep != nil {
+		b.o.OnStep(step, s.ix, epoch, stamp, c)
+	}
+}
+
 func (b *Board) majority() int { return len(b.roll.Members)/2 + 1 }
 
 func (b *Board) member() bool { return !b.blank && inRoll(b.roll, b.me.Id) }
@@ -419,3 +430,23 @@
 func (b *Board) Clean(i int) bool { return b.shards[i].commit >= b.shards[i].stamp }
 
 func (b *Board) Epoch(i int) uint64 { return b.shards[i].epoch }
+
+// Lines tells of each shard what this member knows.
+func (b *Board) Lines() []*trunk.ShardLine {
+	var out []*trunk.ShardLine
+	for _, s := range b.shards {
+		l := &trunk.ShardLine{Shard: uint32(s.ix), Epoch: s.epoch, Stamp: s.stamp}
+		if m, ok := b.Owner(s.ix); ok {
+			l.Owner = m.Addr
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// Held tells, from any goroutine, whether this member serves shard 0 under a
+// hold right now.
+func (b *Board) Held() bool { return int64(b.now()) < b.held.Load() }
+
+// Epoch0 is the epoch under which this member last served shard 0.
+func (b *Board) Epoch0() uint64 { return b.epoch.Load() }
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -35,6 +35,7 @@
 	s.stamp++
 	e := &trunk.Entry{Shard: uint32(s.ix), Epoch: s.epoch, Stamp: s.stamp, Change: c}
 	s.table.Apply(c, b.now())
+	b.step("proposed", s, e.Epoch, e.Stamp, c)
 	s.tails = append(s.tails, e)
 	if len(s.tails) > 512 {
 		s.tails = append([]*trunk.Entry(nil), s.tails[256:]...)
@@ -43,6 +44,7 @@
 	b.save(&trunk.Record{Entry: e}, func(err error) {
 		if err == nil && s.epoch == ep && s.synced+1 >= at {
 			s.synced = max(s.synced, at)
+			b.step("synced", s, ep, at, c)
 			b.advance(s)
 		}
 	})
@@ -117,6 +119,7 @@
 	}
 	if c > s.commit {
 		s.commit = c
+		b.step("committed", s, s.epoch, c, nil)
 		b.release(s)
 		if b.o.OnCommit != nil {
 			b.o.OnCommit(s.ix)
@@ -142,6 +145,10 @@
 		return
 	}
 	s.lease = max(s.lease, at[b.majority()-1]+b.o.Hold*9/10)
+	if s.ix == 0 && s.serving {
+		b.held.Store(int64(s.lease))
+		b.epoch.Store(s.epoch)
+	}
 	b.release(s)
 }
 
@@ -220,6 +227,9 @@
 	was := s.serving
 	b.note("shard %d: given up at epoch %d (%s, %d)", s.ix, s.epoch, why, epoch)
 	s.role, s.serving, s.lease = idle, false, 0
+	if s.ix == 0 {
+		b.held.Store(0)
+	}
 	s.best, s.oks, s.tails = nil, nil, nil
 	s.retryAt = b.now() + b.o.Beat + time.Duration(b.o.Rand(200))*time.Millisecond
 	s.asked = max(s.asked, epoch)
@@ -258,7 +268,7 @@
 		}
 		for _, a := range acks {
 			if s := b.shards[a.Shard]; !a.Gap && s.promised == a.Epoch && s.promisedBy == from {
-				b.held(s)
+				b.grant(s)
 			} else {
 				a.Gap = true
 			}
@@ -316,11 +326,13 @@
 		s.stamp = e.Stamp
 		a.Stamp = e.Stamp
 		s.table.Apply(e.Change, b.now())
+		b.step("received", s, e.Epoch, e.Stamp, e.Change)
 		left++
 		at, ep := e.Stamp, e.Epoch
 		b.save(&trunk.Record{Entry: e}, func(err error) {
 			if err == nil && s.epoch == ep {
 				s.synced = max(s.synced, at)
+				b.step("synced", s, ep, at, e.Change)
 			}
 			fin(err)
 		})
@@ -328,7 +340,7 @@
 	fin(nil)
 }
 
-func (b *Board) held(s *shard) {
+func (b *Board) grant(s *shard) {
 	if s.promisedBy != b.me.Id {
 		s.heldUntil = max(s.heldUntil, b.now()+b.o.Hold)
 	}
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -123,7 +123,7 @@
 		s := b.shards[m.Shard]
 		switch {
 		case m.Epoch == s.promised && s.promisedBy == from:
-			b.held(s)
+			b.grant(s)
 			r.Granted = append(r.Granted, m.Shard)
 			if m.Settled > 0 {
 				b.settles[s.ix] = max(b.settles[s.ix], m.Settled)
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -20,7 +20,7 @@
 	Quiet  time.Duration
 	Now    func() time.Duration
 	Note   func(f string, a ...any)
-	Trace  func(step string, epoch, stamp uint64, detail string)
+	Trace  func(kind, what string, epoch, stamp uint64)
 	OnView func(*trunk.View)
 	// OnConfig applies a configuration; an error leaves the old one in force.
 	OnConfig func(stamp uint64, data []byte) error
@@ -138,7 +138,7 @@
 	f := a.OnView
 	a.mu.Unlock()
 	if a.Trace != nil {
-		a.Trace("view applied", v.Epoch, v.Stamp, "")
+		a.Trace("view", "applied", v.Epoch, v.Stamp)
 	}
 	f(v)
 	return true
@@ -171,7 +171,7 @@
 	a.conf = stamp
 	a.mu.Unlock()
 	if a.Trace != nil {
-		a.Trace("configuration applied", epoch, stamp, "")
+		a.Trace("configuration", "applied", epoch, stamp)
 	}
 	return true
 }
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"corkcove/internal/exchange"
@@ -24,8 +25,11 @@
 	Fails      int
 	Me         string
 	Now        func() time.Duration
-	Note       func(f string, a ...any)
-	Trace      func(step string, epoch, stamp uint64, detail string)
+	// Held tells whether shard 0 is held right now; a master that is not sure
+	// of it says nothing to anybody.
+	Held  func() bool
+	Note  func(f string, a ...any)
+	Trace func(what string, epoch, stamp uint64)
 }
 
 func (o Options) rules() rules { return rules{o.Window, o.Crashes, o.Fails, o.Silent} }
@@ -38,6 +42,7 @@
 	store Store
 
 	leading bool
+	paused  bool
 	epoch   uint64
 	since   time.Duration
 	hs      map[string]*history
@@ -74,9 +79,9 @@
 	}
 }
 
-func (m *Master) trace(step string, stamp uint64, detail string) {
+func (m *Master) trace(what string, stamp uint64) {
 	if m.o.Trace != nil {
-		m.o.Trace(step, m.epoch, stamp, detail)
+		m.o.Trace(what, m.epoch, stamp)
 	}
 }
 
@@ -88,6 +93,7 @@
 		m.view = kept
 	}
 	m.note("master under epoch %d, view %d, configuration %d", epoch, m.view.Stamp, conf)
+	m.paused = false
 	m.leading, m.epoch, m.since, m.made, m.changed = true, epoch, now, now, now
 	m.users, m.roll = users, roll
 	v := m.view
@@ -155,18 +161,44 @@
 
 func (m *Master) SetRoll(r *trunk.Roll) { m.roll = r }
 
-func (m *Master) SetUsers(u map[string]string) {
-	for n, s := range u {
-		if s == Up {
-			if h := m.hs[n]; h != nil {
-				h.setOut, h.unproven, h.crashes = false, false, nil
-			}
-		}
+// SetUsers takes all user states; the node just set to up starts with a clean
+// history.
+func (m *Master) SetUsers(u map[string]string, node string) {
+	if h := m.hs[node]; h != nil && u[node] == "" {
+		h.setOut, h.unproven, h.crashes = false, false, nil
 	}
+	m.note("user state of %s: %q", node, u[node])
 	m.users = u
 	m.touch()
 }
 
+func (m *Master) Knows(node string) bool { return m.hs[node] != nil }
+
+// Nodes tells what the master knows of each node, and why a state was lowered.
+func (m *Master) Nodes() []*trunk.NodeLine {
+	var out []*trunk.NodeLine
+	for n, h := range m.hs {
+		e := h.state.GetEndpoint()
+		l := &trunk.NodeLine{Name: n, Addr: h.state.GetAddr(), Site: h.state.GetSite(), Service: h.state.GetService(), Endpoint: e.GetId(),
+			Reported: e.GetState(), Official: h.official(m.users[n]), User: m.users[n], Slots: e.GetSlots(), Reached: h.reached}
+		switch {
+		case !h.reached:
+			l.Why = "does not answer polls"
+		case h.setOut:
+			l.Why = "set out: ended too often"
+		case h.unproven:
+			l.Why = "died cold; down until warm"
+		case e == nil:
+			l.Why = "no endpoint known"
+		case !e.Sound:
+			l.Why = "endpoint unsound"
+		}
+		out = append(out, l)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
 // SetConfig hands a newly committed configuration to all nodes at once.
 func (m *Master) SetConfig(stamp uint64, doc []byte) {
 	if stamp <= m.conf && stamp != 0 && m.conf != 0 {
@@ -196,7 +228,7 @@
 
 // Hello makes a node known; it gives back the endpoint that the node had last.
 func (m *Master) Hello(n *trunk.NodeState) (*trunk.Endpoint, bool) {
-	if !m.leading {
+	if !m.leading || !m.sure() {
 		return nil, false
 	}
 	h := m.hs[n.Name]
@@ -218,8 +250,30 @@
 	return h.last, true
 }
 
+// sure stops all polls while the hold on shard 0 is not certain, so that the
+// nodes look for another master, and takes them up again after.
+func (m *Master) sure() bool {
+	ok := m.o.Held == nil || m.o.Held()
+	if m.leading && !ok && !m.paused {
+		m.note("hold on shard 0 is not certain; silent")
+		m.paused = true
+		for n, stop := range m.polls {
+			stop()
+			delete(m.polls, n)
+		}
+	}
+	if m.leading && ok && m.paused {
+		m.paused = false
+		for n, h := range m.hs {
+			h.seen = m.o.Now()
+			m.poll(n, h.state.GetAddr())
+		}
+	}
+	return ok
+}
+
 func (m *Master) poll(name, addr string) {
-	if m.polls[name] != nil || addr == "" {
+	if m.polls[name] != nil || addr == "" || m.paused {
 		return
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -317,7 +371,7 @@
 // one and the states have settled.
 func (m *Master) Tick() {
 	now := m.o.Now()
-	if !m.leading || m.making || now-m.since < m.o.Transition {
+	if !m.leading || !m.sure() || m.making || now-m.since < m.o.Transition {
 		return
 	}
 	for n, h := range m.hs {
@@ -356,7 +410,7 @@
 
 func (m *Master) publish(v *trunk.View) {
 	m.view, m.made = v, m.o.Now()
-	m.trace("view published", v.Stamp, "")
+	m.trace("published", v.Stamp)
 	for n, h := range m.hs {
 		m.follow(n, h)
 	}
@@ -380,6 +434,9 @@
 // follow sends a node what it has not yet acknowledged.
 func (m *Master) follow(name string, h *history) {
 	m.deliver(name, h)
+	if !m.sure() {
+		return
+	}
 	c := m.courier(name)
 	if m.view.Epoch != m.epoch || c.busy || c.view >= m.view.Stamp || h.state.GetAddr() == "" {
 		return
@@ -399,6 +456,9 @@
 }
 
 func (m *Master) deliver(name string, h *history) {
+	if !m.sure() {
+		return
+	}
 	c := m.courier(name)
 	if c.cbusy || m.conf == 0 || c.conf >= m.conf || h.state.GetAddr() == "" {
 		return
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -192,7 +192,7 @@
 		}
 		pass(time.Second)
 		qt.Assert(t, s.st.v.Stamp, qt.Equals, before+1)
-		s.do(func() { s.m.SetUsers(map[string]string{"n0": Down}) })
+		s.do(func() { s.m.SetUsers(map[string]string{"n0": Down}, "n0") })
 		pass(time.Second)
 		qt.Assert(t, s.count(0), qt.Equals, 3)
 	})
@@ -262,3 +262,38 @@
 	d, _ := a.Deliver(c, &trunk.DeliverReq{Epoch: 3, Stamp: 7})
 	qt.Assert(t, d.Stamp, qt.Equals, uint64(8))
 }
+
+func TestMasterWithoutItsHoldLetsItsNodesGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t, 2)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		held := true
+		s.do(func() {
+			s.m.o.Held = func() bool { return held }
+			s.m.Lead(1, nil, map[string]string{}, 3, []byte("c"), &trunk.Roll{Stamp: 1})
+		})
+		s.hello()
+		pass(2 * time.Second)
+		quiet := func(i int) bool {
+			a := s.ns[i].agent
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.Now()-a.polled > a.Quiet
+		}
+		qt.Assert(t, quiet(0), qt.IsFalse)
+		s.do(func() { held = false })
+		pass(100 * time.Millisecond)
+		qt.Assert(t, quiet(0) && quiet(1), qt.IsTrue, qt.Commentf("nodes must look for another master at once"))
+		s.do(func() {
+			_, ok := s.m.Hello(s.ns[0].agent.node)
+			qt.Check(t, ok, qt.IsFalse)
+			s.m.SetConfig(9, []byte("never"))
+		})
+		pass(time.Second)
+		qt.Assert(t, s.ns[0].confs, qt.DeepEquals, []uint64{3})
+		s.do(func() { held = true })
+		pass(500 * time.Millisecond)
+		qt.Assert(t, quiet(0) || quiet(1), qt.IsFalse)
+	})
+}
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -67,6 +67,7 @@
 	leaving atomic.Bool
 	Tally   [9]atomic.Int64
 	longest longest
+	Flows   *Flows
 }
 
 // longest keeps the longest wait seen on each binding: a request with less
@@ -89,8 +90,10 @@
 	return d > l.m[n]*19/20
 }
 
-func NewOutbound(o OutboundOptions) *Outbound { return &Outbound{o: o} }
+func NewOutbound(o OutboundOptions) *Outbound { return &Outbound{o: o, Flows: NewFlows(time.Now)} }
 
+// Leave asks user agents to go elsewhere with their next request; idle streams
+// stay open, since closing one could cut a request that is under way on it.
 func (b *Outbound) Leave() { b.leaving.Store(true) }
 
 type trip struct {
@@ -143,6 +146,8 @@
 	defer b.Running.Add(-1)
 	if b.leaving.Load() {
 		w.Header().Set("Connection", "close")
+	} else if p := b.o.Plan.Load(); p != nil && p.Limits.Idle > 4*time.Second {
+		w.Header()["Keep-Alive"] = []string{"timeout=" + strconv.Itoa(int(p.Limits.Idle/time.Second)-2)}
 	}
 	t := &trip{b: b, w: w, r: r, t0: time.Now()}
 	defer func() {
@@ -257,7 +262,11 @@
 		}
 		t.tried = append(t.tried, r)
 		t.short = full < shortTries
+		t1 := time.Now()
 		res := t.send(r)
+		if res == answered {
+			t.b.Flows.add(flow{t.route.Name, t.route.Kind, t.to, r.id, r.node}, time.Since(t1))
+		}
 		if res == turned || res == broken {
 			t.ran = append(t.ran, r)
 		}
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -34,6 +34,9 @@
 	drained atomic.Bool
 }
 
+// forget is how old an endpoint's load may be before it counts half.
+const forget = 500 * time.Millisecond
+
 type pool struct {
 	stamp uint64
 	by    map[string][]*remote
@@ -48,10 +51,12 @@
 	cur   atomic.Pointer[pool]
 	far   float64
 	heavy float64
+	draw  func() float64
+	clock func() int64
 }
 
 func NewPools(site string, far, heavy float64) *Pools {
-	p := &Pools{site: site, all: map[string]*gauge{}, far: far, heavy: heavy}
+	p := &Pools{site: site, all: map[string]*gauge{}, far: far, heavy: heavy, draw: rand.Float64, clock: func() int64 { return time.Now().UnixNano() }}
 	p.cur.Store(&pool{by: map[string][]*remote{}})
 	return p
 }
@@ -95,6 +100,26 @@
 	r.heard.Store(time.Now().UnixNano())
 }
 
+// score is the time until the endpoint would have answered, with bytes between
+// sites counted as time.
+func (r *remote) score(site string, far float64, now int64) float64 {
+	age := float64(now-r.heard.Load()) / float64(forget)
+	ld := float64(r.load.Load()) / (1 + age*age)
+	u := (max(ld, float64(r.mine.Load())) + 1) / float64(r.slots)
+	w := float64(max(r.work.Load(), int64(time.Millisecond)))
+	s := w * (1 + u*u)
+	if u > 1 {
+		s += w * (u - 1) * 2
+	}
+	if r.cold {
+		s *= 2
+	}
+	if r.site != site {
+		s *= far
+	}
+	return s
+}
+
 // wait is how long a request that comes now would stand in the queue there.
 func (r *remote) wait() time.Duration {
 	return time.Duration(max(r.load.Load()-r.slots+1, 0) * r.work.Load() / r.slots)
@@ -111,7 +136,7 @@
 	}
 	var best, spare *remote
 	var bs float64
-	now := time.Now().UnixNano()
+	now := p.clock()
 next:
 	for _, r := range p.cur.Load().by[service] {
 		for _, t := range tried {
@@ -126,23 +151,7 @@
 			spare = r
 			continue
 		}
-		ld := float64(max(r.load.Load(), r.mine.Load()))
-		u := (ld + 1) / float64(r.slots)
-		w := float64(r.work.Load())
-		if w <= 0 {
-			w = float64(time.Millisecond)
-		}
-		s := w * (1 + u*u)
-		if u > 1 {
-			s += w * (u - 1) * 2
-		}
-		if r.cold {
-			s *= 2
-		}
-		if r.site != p.site {
-			s *= far
-		}
-		s *= 1 + 0.3*rand.Float64()
+		s := r.score(p.site, far, now) * (1 + 0.3*p.draw())
 		if best == nil || s < bs {
 			best, bs = r, s
 		}
@@ -184,3 +193,28 @@
 	b.have[service]--
 	return true
 }
+
+// Seat is an endpoint as the estimator sees it: chosen by the same rules as a
+// live one, its load told by the estimator.
+type Seat struct{ r *remote }
+
+func (p *Pools) Seat(service string, heavy bool) (Seat, bool) {
+	r := p.pick(service, heavy, nil)
+	return Seat{r}, r != nil
+}
+
+func (s Seat) ID() string { return s.r.id }
+
+func (s Seat) Begin() { s.r.mine.Add(1) }
+
+func (s Seat) End(load int, work time.Duration, now int64) {
+	s.r.mine.Add(-1)
+	s.r.heard.Store(now)
+	s.r.load.Store(int64(load))
+	s.r.work.Store(int64(work))
+}
+
+// Draw sets where chance and time in choices come from.
+func (p *Pools) Draw(f func() float64, clock func() int64) { p.draw, p.clock = f, clock }
+
+func (p *Pools) Weights() (far, heavy float64) { return p.far, p.heavy }
--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -266,3 +266,22 @@
 		qt.Assert(t, b, qt.Equals, "e1")
 	}
 }
+
+func TestRequestOnAnIdleStreamIsAnsweredWhileLeaving(t *testing.T) {
+	m := newMesh(t, 1)
+	c, err := m.h.line().DialContext(context.Background(), "tcp", "out")
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for i, close := range []bool{false, true} {
+		if close {
+			m.out.Leave()
+		}
+		fmt.Fprintf(c, "POST /e/ HTTP/1.1\r\nHost: a\r\nX-Request-Id: r%d\r\nX-Deadline-Ms: 2000\r\nContent-Length: 1\r\n\r\nb", i)
+		p, err := http.ReadResponse(br, nil)
+		qt.Assert(t, err, qt.IsNil)
+		io.ReadAll(p.Body)
+		qt.Assert(t, p.StatusCode, qt.Equals, 200)
+		qt.Assert(t, p.Close, qt.Equals, close)
+	}
+}
