--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -257,7 +257,7 @@
 		Hold: holdFor, Beat: beatEach, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 4 << 20,
 		NewTable: func() exchange.Table { return numbering.NewTable(hist) },
 		NewID:    newID, Now: p.now, Rand: mrand.IntN, Note: p.note("exchange"),
-		OnOwner: c.onOwner, OnCommit: c.onCommit,
+		OnOwner: c.onOwner, OnCommit: c.onCommit, OnStep: c.onStep,
 		OnRoll: func(r *trunk.Roll) { c.master.Loop.Put(func() { c.master.SetRoll(r) }) },
 	}, exchange.Net{Loop: loop, Lines: lines, Short: 600 * time.Millisecond, Long: 1500 * time.Millisecond}, exchange.Shelf{Loop: loop, Book: book}, recs)
 	if err != nil {
--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -13,9 +13,11 @@
 	"k8s.io/klog/v2"
 
 	"corkcove/internal/dialplan"
+	"corkcove/internal/erlang"
 	"corkcove/internal/options"
 	"corkcove/internal/ringlog"
 	"corkcove/internal/tracer"
+	"corkcove/internal/trunk"
 )
 
 var version = "0.1.0"
@@ -32,8 +34,29 @@
 	checkConf := check.Flag("config", "The file is an operator's configuration.").Bool()
 	checkFile := check.Arg("file", "The file.").Required().String()
 	ver := app.Command("version", "Print the version.")
+	cores := app.Flag("core", "Inner address of a core node, for the tools; may be repeated. Default: the seeds in the settings file.").Strings()
+	asJSON := app.Flag("json", "Tools print JSON.").Bool()
+	status := app.Command("status", "Show the core, the view, and each node's state and why.")
+	tr := app.Command("trace", "Follow one change through all nodes: r12, view:9 or key:group.name.")
+	trWhat := tr.Arg("change", "The change.").Required().String()
+	st := app.Command("state", "User states of nodes.").Command("set", "Cap a node's state; kept over restarts and takeovers.")
+	stNode := st.Arg("node", "The node's name.").Required().String()
+	stState := st.Arg("state", "up, maintenance, retired or down.").Required().String()
+	est := app.Command("estimate", "Tell which requests would go to another endpoint before one is added or retired.")
+	ret := est.Command("retire", "Estimate the retirement of a node or endpoint.")
+	retWho := ret.Arg("node", "The node's name or the endpoint's id.").Required().String()
+	retSave := ret.Flag("save", "Keep the estimate in a file for check.").String()
+	add := est.Command("add", "Estimate the addition of an endpoint.")
+	addSvc := add.Arg("service", "Its service.").Required().String()
+	addSite := add.Arg("site", "Its site.").Required().String()
+	addSlots := add.Arg("slots", "Its slots.").Required().Uint32()
+	addSave := add.Flag("save", "Keep the estimate in a file for check.").String()
+	chk := est.Command("check", "Hold a kept estimate against the flows of the last seconds.")
+	chkFile := chk.Arg("file", "The kept estimate.").Required().String()
+	chkIn := chk.Flag("within", "Share of requests that may have gone elsewhere than foretold.").Default("0.1").Float64()
 
-	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	cmd := kingpin.MustParse(app.Parse(os.Args[1:]))
+	switch cmd {
 	case side.FullCommand():
 		run("sidecar", *file, *chatty, runSidecar)
 	case core.FullCommand():
@@ -46,6 +69,28 @@
 		fmt.Println("ok")
 	case ver.FullCommand():
 		fmt.Println("corkcove", version, runtime.Version())
+	default:
+		t, err := newTool(*file, *cores, *asJSON)
+		if err == nil {
+			switch cmd {
+			case status.FullCommand():
+				err = t.runStatus()
+			case tr.FullCommand():
+				err = t.trace(*trWhat)
+			case st.FullCommand():
+				err = t.setState(*stNode, *stState)
+			case ret.FullCommand():
+				err = t.estimate(erlang.Change{Retire: *retWho}, *retSave)
+			case add.FullCommand():
+				err = t.estimate(erlang.Change{Add: &trunk.Endpoint{Id: "to-be-added", Service: *addSvc, Site: *addSite, Slots: *addSlots, State: "up", Node: "to-be-added"}}, *addSave)
+			case chk.FullCommand():
+				err = t.checkEstimate(*chkFile, *chkIn)
+			}
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "corkcove: "+err.Error())
+			os.Exit(1)
+		}
 	}
 }
 
--- /dev/null
+++ b/cmd/corkcove/tools.go
@@ -0,0 +1,291 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"corkcove/internal/erlang"
+	"corkcove/internal/options"
+	"corkcove/internal/supervisor"
+	"corkcove/internal/tracer"
+	"corkcove/internal/trunk"
+)
+
+const toolWait = 2 * time.Second
+
+var stderr = os.Stderr
+
+// tool knows how to reach the core.
+type tool struct {
+	lines *trunk.Lines
+	cores []string
+	json  bool
+}
+
+func newTool(file string, cores []string, asJSON bool) (*tool, error) {
+	if len(cores) == 0 {
+		if file == "" {
+			file = options.Path()
+		}
+		o, err := options.Load(file, "")
+		if err != nil {
+			return nil, fmt.Errorf("no --core was given, and the settings name none: %w", err)
+		}
+		cores = o.SeedInner()
+	}
+	return &tool{lines: trunk.NewLines(&http.Client{Transport: trunk.Transport(time.Second, 2*time.Second, time.Second, 2)}), cores: cores, json: asJSON}, nil
+}
+
+// status asks each core node known; the master's answer comes first.
+func (t *tool) status() ([]*trunk.StatusResp, error) {
+	seen := map[string]bool{}
+	todo := append([]string{}, t.cores...)
+	var out []*trunk.StatusResp
+	var last error
+	for len(todo) > 0 {
+		a := todo[0]
+		todo = todo[1:]
+		if seen[a] {
+			continue
+		}
+		seen[a] = true
+		r, err := trunk.Call(toolWait, t.lines.Control(a).Status, &trunk.StatusReq{})
+		if err != nil {
+			last = err
+			continue
+		}
+		out = append(out, r)
+		for _, m := range r.Roll.GetMembers() {
+			todo = append(todo, m.Addr)
+		}
+	}
+	if len(out) == 0 {
+		return nil, fmt.Errorf("no core node answers at %s: %v", strings.Join(t.cores, ", "), last)
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Master && !out[j].Master })
+	return out, nil
+}
+
+func (t *tool) print(v any, text string) {
+	if !t.json {
+		fmt.Print(text)
+		return
+	}
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	e.Encode(v)
+}
+
+func (t *tool) runStatus() error {
+	ss, err := t.status()
+	if err != nil {
+		return err
+	}
+	var b strings.Builder
+	for _, s := range ss {
+		role := "core"
+		if s.Master {
+			role = "master"
+		}
+		own := 0
+		for _, l := range s.Shards {
+			if l.Owner != "" {
+				own++
+			}
+		}
+		fmt.Fprintf(&b, "%-7s %-24s member=%v disk=%v roll %d of %d, %d of %d shards with an owner\n", role, s.Node, s.Member, s.DiskSound,
+			s.Roll.GetStamp(), len(s.Roll.GetMembers()), own, len(s.Shards))
+	}
+	m := ss[0]
+	if !m.Master {
+		b.WriteString("no master now\n")
+		t.print(ss, b.String())
+		return nil
+	}
+	fmt.Fprintf(&b, "epoch %d, view %d, configuration r%d\n\n", m.Epoch, m.View, m.Config)
+	fmt.Fprintf(&b, "%-28s %-14s %-12s %-16s %-9s %-9s %-11s %s\n", "node", "site", "service", "endpoint", "reported", "official", "user", "why")
+	for _, n := range m.Nodes {
+		fmt.Fprintf(&b, "%-28s %-14s %-12s %-16s %-9s %-9s %-11s %s\n", n.Name, n.Site, n.Service, n.Endpoint, n.Reported, n.Official, n.User, n.Why)
+	}
+	t.print(ss, b.String())
+	return nil
+}
+
+func (t *tool) setState(node, state string) error {
+	if !supervisor.UserState(state) {
+		return fmt.Errorf("%q is no state: give up, maintenance, retired or down", state)
+	}
+	todo := append([]string{}, t.cores...)
+	why := "no core node answers"
+	for i := 0; i < len(todo) && i < 8; i++ {
+		r, err := trunk.Call(toolWait, t.lines.Control(todo[i]).SetState, &trunk.SetStateReq{Node: node, State: state})
+		if err != nil {
+			continue
+		}
+		if r.Ok {
+			fmt.Printf("%s: %s\n", node, state)
+			return nil
+		}
+		why = r.Why
+		if r.MasterAddr == "" {
+			if r.Why != "not the master" {
+				break
+			}
+			continue
+		}
+		todo = append(todo[:i+1], append([]string{r.MasterAddr}, todo[i+1:]...)...)
+	}
+	return fmt.Errorf("%s", why)
+}
+
+// all names every process that the core knows, with its address.
+func all(ss []*trunk.StatusResp) map[string]string {
+	at := map[string]string{}
+	for _, s := range ss {
+		for _, m := range s.Roll.GetMembers() {
+			at["core "+m.Addr] = m.Addr
+		}
+		for _, n := range s.Nodes {
+			if n.Addr != "" {
+				at[n.Name] = n.Addr
+			}
+		}
+	}
+	return at
+}
+
+func (t *tool) trace(what string) error {
+	if _, err := tracer.Parse(what); err != nil {
+		return err
+	}
+	ss, err := t.status()
+	if err != nil {
+		return err
+	}
+	r := tracer.Gather(t.lines, what, all(ss), toolWait)
+	t.print(r, r.String())
+	if !r.Known {
+		return fmt.Errorf("no process that answered knows %s", what)
+	}
+	return nil
+}
+
+func (t *tool) origins() ([]erlang.Origin, *trunk.StatusResp, error) {
+	ss, err := t.status()
+	if err != nil {
+		return nil, nil, err
+	}
+	if !ss[0].Master {
+		return nil, nil, fmt.Errorf("there is no master now, so the view is not known")
+	}
+	var os []erlang.Origin
+	for _, n := range ss[0].Nodes {
+		if n.Addr == "" {
+			continue
+		}
+		r, err := trunk.Call(toolWait, t.lines.Tracer(n.Addr).Flows, &trunk.FlowsReq{})
+		if err != nil {
+			fmt.Fprintf(stderr, "%s did not answer; its requests are left out\n", n.Name)
+			continue
+		}
+		os = append(os, erlang.Origin{Node: r.Node, Site: r.Site, Far: r.Far, Heavy: r.Heavy, Flows: r.Flows})
+	}
+	return os, ss[0], nil
+}
+
+func (t *tool) estimate(c erlang.Change, save string) error {
+	os, s, err := t.origins()
+	if err != nil {
+		return err
+	}
+	var es []*trunk.Endpoint
+	for _, n := range s.Nodes {
+		if n.Official == supervisor.Up {
+			es = append(es, &trunk.Endpoint{Id: n.Endpoint, Service: n.Service, Site: n.Site, Slots: n.Slots, State: n.Official, Node: n.Name})
+		}
+	}
+	e, err := erlang.Run(os, es, c, erlang.Options{Span: 120 * time.Second, Seed: 1})
+	if err != nil {
+		return err
+	}
+	if save != "" {
+		b, err := json.MarshalIndent(e, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := writeFile(save, b); err != nil {
+			return err
+		}
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%-28s %-16s %-10s %10s %10s %7s\n", "requests from", "binding", "kind", "a second", "would move", "share")
+	tot := map[string][2]float64{}
+	for _, x := range e.Sums {
+		share := 0.0
+		if x.Rate > 0 {
+			share = 100 * x.Moved / x.Rate
+		}
+		fmt.Fprintf(&b, "%-28s %-16s %-10s %10.2f %10.2f %6.1f%%\n", x.From, x.Binding, x.Kind, x.Rate, x.Moved, share)
+		k := tot[x.Kind]
+		tot[x.Kind] = [2]float64{k[0] + x.Rate, k[1] + x.Moved}
+	}
+	for k, v := range tot {
+		fmt.Fprintf(&b, "all %-40s %21.2f %10.2f\n", k, v[0], v[1])
+	}
+	b.WriteString("\n")
+	to := map[string][2]float64{}
+	for _, r := range e.Rows {
+		n := to[r.Node+" "+r.Endpoint]
+		to[r.Node+" "+r.Endpoint] = [2]float64{n[0] + r.Now, n[1] + r.Then}
+	}
+	var ks []string
+	for k := range to {
+		ks = append(ks, k)
+	}
+	sort.Strings(ks)
+	for _, k := range ks {
+		fmt.Fprintf(&b, "%-46s now %8.2f/s, then %8.2f/s\n", k, to[k][0], to[k][1])
+	}
+	t.print(e, b.String())
+	return nil
+}
+
+func writeFile(name string, b []byte) error { return os.WriteFile(name, append(b, '\n'), 0o644) }
+
+func (t *tool) checkEstimate(file string, within float64) error {
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var e erlang.Estimate
+	if err := json.Unmarshal(b, &e); err != nil {
+		return fmt.Errorf("%s holds no estimate: %w", file, err)
+	}
+	os, _, err := t.origins()
+	if err != nil {
+		return err
+	}
+	vs := erlang.Check(e, os)
+	if len(vs) == 0 {
+		return fmt.Errorf("none of the bindings in %s has flows now", file)
+	}
+	var w strings.Builder
+	bad := 0
+	fmt.Fprintf(&w, "%-16s %-10s %9s %9s %9s\n", "binding", "kind", "foretold", "measured", "off by")
+	for _, v := range vs {
+		fmt.Fprintf(&w, "%-16s %-10s %8.1f%% %8.1f%% %8.1f%%\n", v.Binding, v.Kind, 100*v.Foretold, 100*v.Measured, 100*v.Off)
+		if v.Off > within {
+			bad++
+		}
+	}
+	t.print(vs, w.String())
+	if bad > 0 {
+		return fmt.Errorf("%d of %d bindings are off by more than %.0f%%", bad, len(vs), 100*within)
+	}
+	return nil
+}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -120,7 +120,7 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	return &Desk{o: o, dead: map[string]uint64{}, work: 50 * time.Millisecond}
+	return &Desk{o: o, dead: map[string]uint64{}}
 }
 
 func (d *Desk) changed(was Life) func() {
@@ -246,6 +246,9 @@
 		d.fails = 0
 		d.last = d.o.Now()
 		if took > 0 {
+			if d.work == 0 {
+				d.work = took
+			}
 			d.work += (took - d.work) / 16
 		}
 	}
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -362,7 +362,7 @@
 		left /= 2
 	}
 	if t.short {
-		left = min(left, time.Duration(r.work.Load())*3/2)
+		left = min(left, max(time.Duration(r.work.Load()), 20*time.Millisecond)*3/2)
 	}
 	out[hdrWait] = []string{millis(left)}
 	if !t.fresh {
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -70,7 +70,6 @@
 		g := p.all[e.Id]
 		if g == nil {
 			g = &gauge{}
-			g.work.Store(int64(50 * time.Millisecond))
 		}
 		keep[e.Id] = g
 		n.by[e.Service] = append(n.by[e.Service], &remote{id: e.Id, node: e.Node, inbound: e.Inbound, site: e.Site,
@@ -102,11 +101,15 @@
 
 // score is the time until the endpoint would have answered, with bytes between
 // sites counted as time.
-func (r *remote) score(site string, far float64, now int64) float64 {
+func (r *remote) score(site string, far, usual float64, now int64) float64 {
 	age := float64(now-r.heard.Load()) / float64(forget)
 	ld := float64(r.load.Load()) / (1 + age*age)
 	u := (max(ld, float64(r.mine.Load())) + 1) / float64(r.slots)
-	w := float64(max(r.work.Load(), int64(time.Millisecond)))
+	w := usual
+	if v := r.work.Load(); v > 0 {
+		age /= 8
+		w += (float64(v) - usual) / (1 + age*age)
+	}
 	s := w * (1 + u*u)
 	if u > 1 {
 		s += w * (u - 1) * 2
@@ -120,6 +123,22 @@
 	return s
 }
 
+// usualWork is the mean time of the endpoints heard from: what one not heard
+// from, or not for long, is taken to need.
+func usualWork(rs []*remote) float64 {
+	sum, n := int64(0), int64(0)
+	for _, r := range rs {
+		if v := r.work.Load(); v > 0 {
+			sum += v
+			n++
+		}
+	}
+	if n == 0 {
+		return float64(50 * time.Millisecond)
+	}
+	return max(float64(sum/n), float64(time.Millisecond))
+}
+
 // wait is how long a request that comes now would stand in the queue there.
 func (r *remote) wait() time.Duration {
 	return time.Duration(max(r.load.Load()-r.slots+1, 0) * r.work.Load() / r.slots)
@@ -137,8 +156,10 @@
 	var best, spare *remote
 	var bs float64
 	now := p.clock()
+	rs := p.cur.Load().by[service]
+	usual := usualWork(rs)
 next:
-	for _, r := range p.cur.Load().by[service] {
+	for _, r := range rs {
 		for _, t := range tried {
 			if t == r || t.id == r.id {
 				continue next
@@ -151,7 +172,7 @@
 			spare = r
 			continue
 		}
-		s := r.score(p.site, far, now) * (1 + 0.3*p.draw())
+		s := r.score(p.site, far, usual, now) * (1 + 0.3*p.draw())
 		if best == nil || s < bs {
 			best, bs = r, s
 		}
