--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -146,6 +146,7 @@
 	peers  map[string]*peer
 
 	diskBad  bool
+	outs     []time.Duration
 	diskTry  time.Duration
 	diskBusy bool
 	written  int
@@ -311,7 +312,7 @@
 
 func (b *Board) ready(id string) bool {
 	if id == b.me.Id {
-		return !b.diskBad && !b.leaving && b.member()
+		return !b.diskBad && !b.stalled() && !b.leaving && b.member()
 	}
 	return b.alive(id) && b.peers[id].sound
 }
@@ -333,7 +334,9 @@
 func (b *Board) save(r *trunk.Record, done func(error)) {
 	x := enc(r)
 	b.written += len(x)
+	b.outs = append(b.outs, b.now())
 	b.book.Append(x, func(err error) {
+		b.outs = b.outs[1:]
 		if err != nil {
 			b.spoil(err)
 		}
@@ -344,6 +347,9 @@
 	}
 }
 
+// stalled tells that a record has waited long for the disk.
+func (b *Board) stalled() bool { return len(b.outs) > 0 && b.now()-b.outs[0] > b.o.Hold/2 }
+
 func (b *Board) spoil(err error) {
 	if !b.diskBad {
 		b.note("disk refuses: %v", err)
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -141,23 +141,57 @@
 	return r, nil
 }
 
+// fit drops what names no shard here, so that a malformed call harms nobody.
+func fit[T interface{ GetShard() uint32 }](d Door, xs []T) []T {
+	out := xs[:0]
+	for _, x := range xs {
+		if int(x.GetShard()) < len(d.Board.shards) {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func whole(h *trunk.Head) bool { return h.GetFrom().GetId() != "" && h.From.Addr != "" }
+
+var errHead = Error.New("a call without a sender")
+
 func (d Door) Hold(_ context.Context, q *trunk.HoldReq) (*trunk.HoldResp, error) {
+	if !whole(q.Head) {
+		return nil, errHead
+	}
+	q.Marks = fit(d, q.Marks)
 	return answer(Ask(d.Loop, func() *trunk.HoldResp { return d.Board.OnHold(q) }))
 }
 
 func (d Door) Copy(ctx context.Context, q *trunk.CopyReq) (*trunk.CopyResp, error) {
+	if !whole(q.Head) {
+		return nil, errHead
+	}
+	q.States, q.Entries = fit(d, q.States), fit(d, q.Entries)
 	return answer(Later(ctx, d.Loop, func(f func(*trunk.CopyResp)) { d.Board.OnCopy(q, f) }))
 }
 
 func (d Door) Ask(ctx context.Context, q *trunk.AskReq) (*trunk.AskResp, error) {
+	if !whole(q.Head) {
+		return nil, errHead
+	}
+	q.Asks = fit(d, q.Asks)
 	return answer(Later(ctx, d.Loop, func(f func(*trunk.AskResp)) { d.Board.OnAsk(q, f) }))
 }
 
 func (d Door) Hand(_ context.Context, q *trunk.HandReq) (*trunk.HandResp, error) {
+	if !whole(q.Head) {
+		return nil, errHead
+	}
+	q.Marks = fit(d, q.Marks)
 	return answer(Ask(d.Loop, func() *trunk.HandResp { return d.Board.OnHand(q) }))
 }
 
 func (d Door) Enroll(ctx context.Context, q *trunk.EnrollReq) (*trunk.EnrollResp, error) {
+	if len(q.GetRoll().GetMembers()) == 0 {
+		return nil, errHead
+	}
 	return answer(Later(ctx, d.Loop, func(f func(*trunk.EnrollResp)) { d.Board.OnEnroll(q, f) }))
 }
 
@@ -166,5 +200,8 @@
 }
 
 func (d Door) Join(_ context.Context, q *trunk.JoinReq) (*trunk.JoinResp, error) {
+	if q.GetFrom().GetId() == "" || q.From.Addr == "" {
+		return nil, errHead
+	}
 	return answer(Ask(d.Loop, func() *trunk.JoinResp { return d.Board.OnJoin(q) }))
 }
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -595,3 +595,39 @@
 	qt.Assert(t, w.ms["m0"].board.Idle(), qt.IsTrue)
 	qt.Assert(t, w.owners(), qt.Equals, simShards)
 }
+
+func TestStalledDiskNamesASuccessor(t *testing.T) {
+	w := newWorld(t, 6, 3)
+	r := newRules(w)
+	r.work(20 * time.Second)
+	w.run(5 * time.Second)
+	w.ms["m0"].sync = 8 * time.Second
+	w.run(w.now + 1500*time.Millisecond)
+	qt.Assert(t, w.ms["m0"].board.Idle(), qt.IsTrue)
+	qt.Assert(t, w.owners(), qt.Equals, simShards)
+	n := r.served
+	w.run(w.now + time.Second)
+	check(t, w, r, n+40)
+}
+
+func TestMalformedCallsHarmNobody(t *testing.T) {
+	w := newWorld(t, 7, 1)
+	w.run(time.Second)
+	l := exchange.NewLoop()
+	go l.Run(time.Hour, func() {})
+	defer l.Close()
+	d := exchange.Door{Loop: l, Board: w.ms["m0"].board}
+	me := w.ms["m0"].board.Me()
+	h := &trunk.Head{From: me, To: me.Id, Roll: 1}
+	c := t.Context()
+	for _, h := range []*trunk.Head{nil, {}, h} {
+		d.Hold(c, &trunk.HoldReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}, nil}})
+		d.Copy(c, &trunk.CopyReq{Head: h, Entries: []*trunk.Entry{{Shard: 999}}, States: []*trunk.ShardState{{Shard: 999}}})
+		d.Ask(c, &trunk.AskReq{Head: h, Asks: []*trunk.Ask{{Shard: 999}}})
+		d.Hand(c, &trunk.HandReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}}})
+	}
+	d.Enroll(c, &trunk.EnrollReq{})
+	d.Join(c, &trunk.JoinReq{})
+	_, own := w.ms["m0"].board.Own(0)
+	qt.Assert(t, own, qt.IsTrue)
+}
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -374,7 +374,7 @@
 	if !s.serving {
 		return
 	}
-	if b.leaving || b.diskBad {
+	if b.leaving || b.diskBad || b.stalled() {
 		for k := 0; k < len(b.roll.Members); k++ {
 			for _, m := range b.roll.Members {
 				if m.Id != b.me.Id && b.order(s.ix, m.Id) == k && b.ready(m.Id) {
