--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -8,10 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
-	"os/signal"
 	"strconv"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -281,15 +278,7 @@
 	go c.master.Loop.Run(tick, c.master.Tick)
 	go loop.Run(tick, c.board.Tick)
 
-	sig := make(chan os.Signal, 4)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range sig {
-		if s == syscall.SIGHUP {
-			p.reload()
-			continue
-		}
-		break
-	}
+	p.wait()
 	p.note("core")("stops")
 	api.Leave()
 	loop.Put(c.board.Leave)
--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -5,8 +5,10 @@
 	"io"
 	"log"
 	"os"
+	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -134,6 +136,18 @@
 	p.ring.Note("options", "settings taken again")
 }
 
+// wait returns at SIGTERM or SIGINT; SIGHUP takes the settings again.
+func (p *process) wait() {
+	sig := make(chan os.Signal, 4)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range sig {
+		if s != syscall.SIGHUP {
+			return
+		}
+		p.reload()
+	}
+}
+
 func run(role, file string, chatty bool, f func(*process) error) {
 	runtime.GOMAXPROCS(1)
 	if file == "" {
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -4,11 +4,8 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -161,15 +158,7 @@
 		}
 	}()
 
-	sig := make(chan os.Signal, 4)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range sig {
-		if s == syscall.SIGHUP {
-			p.reload()
-			continue
-		}
-		break
-	}
+	p.wait()
 	t0 := time.Now()
 	leaving.Store(true)
 	out.Leave()
--- a/internal/dialplan/dialplan_test.go
+++ b/internal/dialplan/dialplan_test.go
@@ -26,6 +26,9 @@
 		{`"variant":"limitSet"`, `"variant":"limits"`, "is none of"},
 		{`"/x/y/"`, `"/x/y"`, "begin and end with a slash"},
 		{`"timeoutS":4`, `"timeoutS":"4"`, "timeoutS"},
+		{`"timeoutS":4`, `"policyText":"method ==","timeoutS":4`, "policyText"},
+		{`"timeoutS":4`, `"policyText":"bodyBytes + 1","timeoutS":4`, "policyText"},
+		{`"timeoutS":4`, `"policyText":"nobody > 1","timeoutS":4`, "policyText"},
 		{`}}]}`, ``, "no whole JSON"},
 		{`}}]}`, `}}]} x`, "no whole JSON"},
 	} {
@@ -79,3 +82,27 @@
 	_, err = d.With(Patch{Stamp: 9, Removals: map[string][]string{"serviceList": {"s1"}}})
 	qt.Check(t, err, qt.ErrorMatches, ".*unknown.*")
 }
+
+func TestPolicyIsWorkedOutFromTheRequest(t *testing.T) {
+	p, err := CompilePolicy(`method in ["GET", "HEAD"] || bodyBytes < 1000 && header("X-Desk") startsWith "box"`)
+	qt.Assert(t, err, qt.IsNil)
+	h := func(v string) func(string) string { return func(string) string { return v } }
+	for _, x := range []struct {
+		a    Asked
+		want bool
+	}{
+		{Asked{Method: "GET", Header: h("")}, true},
+		{Asked{Method: "POST", BodyBytes: 10, Header: h("box-1")}, true},
+		{Asked{Method: "POST", BodyBytes: 10, Header: h("till")}, false},
+		{Asked{Method: "POST", BodyBytes: 2000, Header: h("box-1")}, false},
+	} {
+		ok, err := p.Allows(x.a)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, ok, qt.Equals, x.want)
+	}
+	bad, err := CompilePolicy(`[1][bodyBytes] == 1`)
+	qt.Assert(t, err, qt.IsNil)
+	ok, err := bad.Allows(Asked{BodyBytes: 7})
+	qt.Check(t, ok, qt.IsFalse)
+	qt.Check(t, err, qt.IsNotNil)
+}
--- a/internal/dialplan/read.go
+++ b/internal/dialplan/read.go
@@ -57,6 +57,7 @@
 	Rank        int
 	MaxAttempts int
 	Split       []Share
+	Policy      *Policy
 }
 
 type Service struct {
@@ -192,6 +193,14 @@
 				return whole(d, &b.MaxAttempts)
 			case "serviceName":
 				return text(d, &one)
+			case "policyText":
+				var s string
+				if err := text(d, &s); err != nil {
+					return err
+				}
+				p, err := CompilePolicy(s)
+				b.Policy = p
+				return err
 			case "weightedSplit":
 				return d.Arr(func(d *jx.Decoder) error {
 					var s Share
--- a/internal/exchange/members.go
+++ b/internal/exchange/members.go
@@ -316,16 +316,14 @@
 
 func (b *Board) copyFrom(got map[string]*trunk.SurveyResp) {
 	stamp := b.roll.Stamp
-	left, bad := 1, false
-	fin := func(err error) {
-		bad = bad || err != nil
-		if left--; left > 0 || bad || !b.blank || b.roll.Stamp != stamp {
+	left, fin := gather(func(failed bool) {
+		if failed || !b.blank || b.roll.Stamp != stamp {
 			return
 		}
 		for _, m := range b.roll.Members {
 			b.wire.Join(m, &trunk.JoinReq{From: b.me, Caught: stamp, First: b.first}, func(*trunk.JoinResp) {})
 		}
-	}
+	})
 	for _, s := range b.shards {
 		var best *trunk.ShardState
 		var pl *trunk.Pledge
@@ -340,11 +338,11 @@
 		if pl.Epoch >= s.promised {
 			s.promised, s.promisedBy = pl.Epoch, pl.By
 			s.heldUntil = b.now() + b.o.Hold
-			left++
+			*left++
 			b.save(&trunk.Record{Pledge: pl}, fin)
 		}
 		if best.Epoch > s.epoch || best.Epoch == s.epoch && best.Stamp > s.stamp {
-			left++
+			*left++
 			b.install(s, best, best.Epoch, fin)
 		}
 	}
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -239,6 +239,18 @@
 	}
 }
 
+// gather calls end once fin has been called for each that is left; one is left
+// at first.
+func gather(end func(failed bool)) (left *int, fin func(error)) {
+	n, failed := 1, false
+	return &n, func(err error) {
+		failed = failed || err != nil
+		if n--; n == 0 {
+			end(failed)
+		}
+	}
+}
+
 // OnCopy answers reply once all it takes is synced.
 func (b *Board) OnCopy(q *trunk.CopyReq, reply func(*trunk.CopyResp)) {
 	r := &trunk.CopyResp{Roll: b.roll.Stamp, Member: b.member() && q.Head.To == b.me.Id}
@@ -253,15 +265,7 @@
 	}
 	from := q.Head.From.Id
 	acks := map[uint32]*trunk.CopyAck{}
-	failed := false
-	left := 1
-	fin := func(err error) {
-		if err != nil {
-			failed = true
-		}
-		if left--; left > 0 {
-			return
-		}
+	left, fin := gather(func(failed bool) {
 		if failed {
 			reply(nil)
 			return
@@ -275,7 +279,7 @@
 			r.Acks = append(r.Acks, a)
 		}
 		reply(r)
-	}
+	})
 	for _, st := range q.States {
 		s := b.shards[st.Shard]
 		a := &trunk.CopyAck{Shard: st.Shard, Epoch: st.Epoch, Stamp: st.Stamp}
@@ -286,7 +290,7 @@
 		}
 		if st.Epoch == s.epoch && s.stamp >= st.Stamp {
 			a.Stamp = s.stamp
-			left++
+			*left++
 			b.book.Append(nil, fin)
 			continue
 		}
@@ -295,7 +299,7 @@
 			s.promised, s.promisedBy = st.Epoch, from
 			b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: st.Shard, Epoch: st.Epoch, By: from}}, func(error) {})
 		}
-		left++
+		*left++
 		b.install(s, st, st.Epoch, fin)
 	}
 	for _, e := range q.Entries {
@@ -305,7 +309,7 @@
 			a = &trunk.CopyAck{Shard: e.Shard, Epoch: e.Epoch, Stamp: s.stamp}
 			acks[e.Shard] = a
 			if e.Epoch == s.epoch {
-				left++
+				*left++
 				b.book.Append(nil, fin)
 			}
 		}
@@ -327,7 +331,7 @@
 		a.Stamp = e.Stamp
 		s.table.Apply(e.Change, b.now())
 		b.step("received", s, e.Epoch, e.Stamp, e.Change)
-		left++
+		*left++
 		at, ep := e.Stamp, e.Epoch
 		b.save(&trunk.Record{Entry: e}, func(err error) {
 			if err == nil && s.epoch == ep {
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -293,18 +293,13 @@
 	}
 	from := q.Head.From.Id
 	now := b.now()
-	left, failed := 1, false
-	fin := func(err error) {
-		failed = failed || err != nil
-		if left--; left > 0 {
-			return
-		}
+	left, fin := gather(func(failed bool) {
 		if failed {
 			reply(nil)
 			return
 		}
 		reply(r)
-	}
+	})
 	for _, a := range q.Asks {
 		s := b.shards[a.Shard]
 		x := &trunk.AskReply{Shard: a.Shard, Promised: s.promised, Epoch: a.Epoch}
@@ -326,7 +321,7 @@
 		if s.epoch > a.HaveEpoch || s.epoch == a.HaveEpoch && s.stamp > a.HaveStamp {
 			x.State = b.dump(s)
 		}
-		left++
+		*left++
 		b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: a.Shard, Epoch: a.Epoch, By: from}}, fin)
 	}
 	fin(nil)
--- a/internal/ringlog/ringlog.go
+++ b/internal/ringlog/ringlog.go
@@ -19,15 +19,14 @@
 // goes wrong.
 type Ring struct {
 	mu   sync.Mutex
-	ls   []Line
-	n    int
+	ls   Buffer[Line]
 	last time.Time
 	gap  time.Duration
 	echo bool
 }
 
 func New(size int, gap time.Duration, echo bool) *Ring {
-	return &Ring{ls: make([]Line, 0, size), gap: gap, echo: echo}
+	return &Ring{ls: NewBuffer[Line](size), gap: gap, echo: echo}
 }
 
 func (r *Ring) Note(area, f string, a ...any) {
@@ -37,18 +36,13 @@
 	if r.echo {
 		klog.Info(l.Area + ": " + l.Text)
 	}
-	if len(r.ls) < cap(r.ls) {
-		r.ls = append(r.ls, l)
-		return
-	}
-	r.ls[r.n] = l
-	r.n = (r.n + 1) % len(r.ls)
+	r.ls.Put(l)
 }
 
 func (r *Ring) Lines() []Line {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append(append([]Line{}, r.ls[r.n:]...), r.ls[:r.n]...)
+	return r.ls.All()
 }
 
 // Spill writes the ring out, at most once in each gap.
@@ -60,8 +54,8 @@
 		return
 	}
 	r.last = now
-	ls := append(append([]Line{}, r.ls[r.n:]...), r.ls[:r.n]...)
-	r.ls, r.n = r.ls[:0], 0
+	ls := r.ls.All()
+	r.ls.Clear()
 	r.mu.Unlock()
 	var b strings.Builder
 	for _, l := range ls {
--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -164,3 +164,40 @@
 func millis(d time.Duration) string {
 	return strconv.FormatInt(int64(max(d, 0)/time.Millisecond), 10)
 }
+
+// begin writes the head of a passed-on answer whose first bytes are b.
+func begin(w http.ResponseWriter, method string, p *http.Response, b []byte, whole bool) {
+	h := w.Header()
+	pass(h, p.Header, false)
+	h["Date"] = p.Header["Date"]
+	if _, ok := p.Header["Content-Type"]; !ok {
+		h["Content-Type"] = nil
+	}
+	switch {
+	case p.ContentLength >= 0 && !(method != http.MethodHead && bodiless(method, p.StatusCode)):
+		h.Set("Content-Length", strconv.FormatInt(p.ContentLength, 10))
+	case whole && !bodiless(method, p.StatusCode):
+		h.Set("Content-Length", strconv.Itoa(len(b)))
+	default:
+		h.Del("Content-Length")
+	}
+	w.WriteHeader(p.StatusCode)
+}
+
+// finish writes the body; a body that breaks off breaks off the stream too.
+func finish(w http.ResponseWriter, p *http.Response, b []byte, whole bool) {
+	if len(b) > 0 {
+		if _, err := w.Write(b); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if !whole {
+		if err := stream(w, p.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func bodiless(method string, code int) bool {
+	return method == http.MethodHead || code/100 == 1 || code == http.StatusNoContent || code == http.StatusNotModified
+}
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -182,37 +182,11 @@
 	if whole {
 		v.n.o.Desk.Answered(v.life, time.Since(t0))
 	}
-	h := v.w.Header()
-	pass(h, p.Header, false)
-	h["Date"] = p.Header["Date"]
-	if _, ok := p.Header["Content-Type"]; !ok {
-		h["Content-Type"] = nil
-	}
-	h.Set(hdrLoad, loadText(v.n.o.Desk))
-	if p.ContentLength >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(p.ContentLength, 10))
-	} else if whole {
-		h.Set("Content-Length", strconv.Itoa(len(b)))
-	}
-	if bodiless(v.r.Method, p.StatusCode) {
-		h.Del("Content-Length")
-		if v.r.Method == http.MethodHead && p.ContentLength >= 0 {
-			h.Set("Content-Length", strconv.FormatInt(p.ContentLength, 10))
-		}
-	}
-	v.w.WriteHeader(p.StatusCode)
-	if _, err := v.w.Write(b); err != nil && len(b) > 0 {
-		panic(http.ErrAbortHandler)
-	}
+	v.w.Header().Set(hdrLoad, loadText(v.n.o.Desk))
+	begin(v.w, v.r.Method, p, b, whole)
+	finish(v.w, p, b, whole)
 	if !whole {
-		if err := stream(v.w, p.Body); err != nil {
-			panic(http.ErrAbortHandler)
-		}
 		v.n.o.Desk.Answered(v.life, time.Since(t0))
 	}
 	return true
 }
-
-func bodiless(method string, code int) bool {
-	return method == http.MethodHead || code/100 == 1 || code == http.StatusNoContent || code == http.StatusNotModified
-}
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -28,6 +28,7 @@
 	lost
 	late
 	unknownBody
+	barred
 )
 
 type row struct {
@@ -47,6 +48,7 @@
 	lost:        {code: http.StatusBadGateway, text: "the endpoint gave no whole answer; it may have run"},
 	late:        {code: http.StatusGatewayTimeout, text: "out of time; it may have run"},
 	unknownBody: {code: http.StatusBadRequest, text: "the body did not arrive whole"},
+	barred:      {code: http.StatusForbidden, text: "the binding's policy bars this request"},
 }
 
 type OutboundOptions struct {
@@ -65,7 +67,7 @@
 	o       OutboundOptions
 	Running atomic.Int64
 	leaving atomic.Bool
-	Tally   [9]atomic.Int64
+	Tally   [10]atomic.Int64
 	longest longest
 	Flows   *Flows
 }
@@ -155,7 +157,7 @@
 			t.clean[i]()
 		}
 	}()
-	for _, f := range []func() bool{t.check, t.find, t.limit, t.read, t.dispatch} {
+	for _, f := range []func() bool{t.check, t.find, t.judge, t.limit, t.read, t.dispatch} {
 		if f() {
 			return
 		}
@@ -187,6 +189,21 @@
 	return false
 }
 
+func (t *trip) judge() bool {
+	if t.route.Policy == nil {
+		return false
+	}
+	p, q, _ := strings.Cut(t.r.RequestURI, "?")
+	ok, err := t.route.Policy.Allows(dialplan.Asked{Method: t.r.Method, Path: p, Query: q, Caller: t.b.o.Service, BodyBytes: int(t.r.ContentLength), Header: t.r.Header.Get})
+	if err != nil {
+		t.b.o.Note("policy of %s: %v", t.route.Name, err)
+	}
+	if !ok {
+		return t.answer(barred)
+	}
+	return false
+}
+
 func (t *trip) limit() bool {
 	left, ok := deadline(t.r.Header)
 	if !ok || t.route.Timeout > 0 && t.route.Timeout < left {
@@ -475,30 +492,7 @@
 		}
 		return broken
 	}
-	h := t.w.Header()
-	pass(h, p.Header, false)
-	h["Date"] = p.Header["Date"]
-	if _, ok := p.Header["Content-Type"]; !ok {
-		h["Content-Type"] = nil
-	}
-	if p.ContentLength >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(p.ContentLength, 10))
-	} else if whole {
-		h.Set("Content-Length", strconv.Itoa(len(b)))
-	}
-	if bodiless(t.r.Method, p.StatusCode) && t.r.Method != http.MethodHead {
-		h.Del("Content-Length")
-	}
-	t.w.WriteHeader(p.StatusCode)
-	if len(b) > 0 {
-		if _, err := t.w.Write(b); err != nil {
-			panic(http.ErrAbortHandler)
-		}
-	}
-	if !whole {
-		if err := stream(t.w, p.Body); err != nil {
-			panic(http.ErrAbortHandler)
-		}
-	}
+	begin(t.w, t.r.Method, p, b, whole)
+	finish(t.w, p, b, whole)
 	return answered
 }
--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -113,6 +113,7 @@
 const plan = `{"stamp":"r1","resourceList":[
 {"variant":"bindingList","metadata":{"name":"p"},"specification":{"hostname":"a","pathPrefix":"/p/","bindingKind":"pure","timeoutS":3,"targetS":0.5,"serviceName":"s","maxAttempts":3}},
 {"variant":"bindingList","metadata":{"name":"e"},"specification":{"hostname":"a","pathPrefix":"/e/","bindingKind":"effectful","timeoutS":3,"targetS":0.5,"serviceName":"s","maxAttempts":3}},
+{"variant":"bindingList","metadata":{"name":"b"},"specification":{"hostname":"a","pathPrefix":"/b/","bindingKind":"pure","timeoutS":3,"targetS":0.5,"serviceName":"s","policyText":"method == 'GET'"}},
 {"variant":"serviceList","metadata":{"name":"s"},"specification":{"soundnessPath":"/h"}}]}`
 
 func newMesh(t *testing.T, n int) *mesh {
@@ -181,6 +182,11 @@
 	qt.Assert(t, s, qt.Equals, "caller /e/..//x%2Fy/?q=1;2 body")
 	c, _, _, _ = m.ask(t, "GET", "/q/", "r2", "")
 	qt.Assert(t, c, qt.Equals, 404)
+	c, _, _, _ = m.ask(t, "GET", "/b/", "r3", "")
+	qt.Assert(t, c, qt.Equals, 200)
+	c, _, _, _ = m.ask(t, "POST", "/b/", "r4", "x")
+	qt.Assert(t, c, qt.Equals, 403)
+	qt.Assert(t, m.runs(), qt.Equals, int64(2))
 }
 
 func TestSpoiltAnswersNeverArriveAsSuccess(t *testing.T) {
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"corkcove/internal/ringlog"
 	"corkcove/internal/trunk"
 )
 
@@ -37,27 +38,21 @@
 // Ring keeps the last steps behind a short lock.
 type Ring struct {
 	mu sync.Mutex
-	ss []Step
-	n  int
+	ss ringlog.Buffer[Step]
 }
 
-func NewRing(size int) *Ring { return &Ring{ss: make([]Step, 0, size)} }
+func NewRing(size int) *Ring { return &Ring{ss: ringlog.NewBuffer[Step](size)} }
 
 func (r *Ring) Add(s Step) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.ss) < cap(r.ss) {
-		r.ss = append(r.ss, s)
-		return
-	}
-	r.ss[r.n] = s
-	r.n = (r.n + 1) % len(r.ss)
+	r.ss.Put(s)
 }
 
 func (r *Ring) all() []Step {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append(append([]Step{}, r.ss[r.n:]...), r.ss[:r.n]...)
+	return r.ss.All()
 }
 
 // Change is what an operator asks for: r12 (a configuration), view:9, or
