--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -631,3 +631,35 @@
 	_, own := w.ms["m0"].board.Own(0)
 	qt.Assert(t, own, qt.IsTrue)
 }
+
+func (w *world) askOne(to, from string, shard uint32, epoch uint64) bool {
+	t, f := w.ms[to].board, w.ms[from].board.Me()
+	ok := false
+	t.OnAsk(&trunk.AskReq{Head: &trunk.Head{From: f, To: t.Me().Id, Roll: t.Roll().Stamp}, Asks: []*trunk.Ask{{Shard: shard, Epoch: epoch}}}, func(r *trunk.AskResp) {
+		ok = r != nil && len(r.Replies) == 1 && r.Replies[0].Ok
+	})
+	w.run(w.now + 10*time.Millisecond)
+	return ok
+}
+
+func TestGranterPromisesNoOtherWhileItsHoldRuns(t *testing.T) {
+	w := newWorld(t, 8, 3)
+	w.run(4 * time.Second)
+	_, own := w.ms["m0"].board.Own(1)
+	qt.Assert(t, own, qt.IsTrue)
+	qt.Assert(t, w.askOne("m1", "m2", 1, 50), qt.IsFalse)
+	qt.Assert(t, w.askOne("m0", "m2", 1, 50), qt.IsFalse, qt.Commentf("the owner itself, while it is held"))
+
+	w.ms["m1"].kill()
+	w.ms["m1"].start()
+	w.run(w.now + 5*time.Millisecond)
+	w.isolate("m0", true)
+	qt.Assert(t, w.askOne("m1", "m2", 1, 60), qt.IsFalse, qt.Commentf("just restarted, it may have granted before"))
+	qt.Assert(t, w.askOne("m1", "m0", 1, 70), qt.IsTrue, qt.Commentf("the holder itself need not wait"))
+	qt.Assert(t, w.askOne("m1", "m2", 1, 70), qt.IsFalse, qt.Commentf("one epoch, one promise"))
+	qt.Assert(t, w.askOne("m1", "m2", 1, 71), qt.IsFalse)
+	w.isolate("m1", true)
+	w.run(w.now + time.Second)
+	qt.Assert(t, w.askOne("m1", "m2", 1, 70), qt.IsFalse, qt.Commentf("one epoch, one promise"))
+	qt.Assert(t, w.askOne("m1", "m2", 1, 71), qt.IsTrue)
+}
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -123,6 +123,8 @@
 	st   *saved
 	ns   []*fakeNode
 	last [][]*trunk.Endpoint
+	// sizes counts the endpoints of each view that the first node took.
+	sizes []int
 }
 
 func newStage(t *testing.T, n int) *stage {
@@ -139,6 +141,9 @@
 			f.mu.Lock()
 			f.views = append(f.views, v.Stamp)
 			s.last[i] = v.Endpoints
+			if i == 0 {
+				s.sizes = append(s.sizes, len(v.Endpoints))
+			}
 			f.mu.Unlock()
 		}
 		a.OnConfig = func(st uint64, _ []byte) error {
@@ -215,6 +220,9 @@
 			f.set(false)
 		}
 		kept := s.st.v
+		s.ns[0].mu.Lock()
+		s.sizes = nil
+		s.ns[0].mu.Unlock()
 		s.do(func() { s.m.Lead(2, kept, map[string]string{}, 5, []byte("d"), &trunk.Roll{Stamp: 1}) })
 		s.hello()
 		pass(1500 * time.Millisecond)
@@ -222,6 +230,9 @@
 			qt.Check(t, f.confs[len(f.confs)-1], qt.Equals, uint64(5))
 			qt.Check(t, s.count(i), qt.Equals, 3)
 		}
+		for _, n := range s.sizes {
+			qt.Check(t, n, qt.Equals, 3, qt.Commentf("a view without its endpoints was published"))
+		}
 	})
 }
 
