--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -662,4 +662,7 @@
 	w.run(w.now + time.Second)
 	qt.Assert(t, w.askOne("m1", "m2", 1, 70), qt.IsFalse, qt.Commentf("one epoch, one promise"))
 	qt.Assert(t, w.askOne("m1", "m2", 1, 500), qt.IsTrue)
+	w.run(w.now + time.Second)
+	qt.Assert(t, w.askOne("m1", "m0", 1, 500), qt.IsFalse, qt.Commentf("one epoch, one promise"))
+	qt.Assert(t, w.askOne("m1", "m0", 1, 501), qt.IsTrue)
 }
