--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -300,7 +300,7 @@
 }
 
 // Admit waits for a slot by rank and deadline, or turns away at once where the
-// answer would come later than most. With None the caller holds a slot of the
+// wait would be longer than most. With None the caller holds a slot of the
 // life id and must call the release it gets.
 func (d *Desk) Admit(ctx context.Context, id string, at Place, most time.Duration) (func(), Reason) {
 	d.mu.Lock()
@@ -321,7 +321,7 @@
 		}
 	}
 	est := d.work * time.Duration(ahead) / time.Duration(max(d.life.Slots, 1))
-	if est+d.work > most || len(d.wait) >= int(d.o.Queue*float64(d.life.Slots))+2 {
+	if est > most || len(d.wait) >= int(d.o.Queue*float64(d.life.Slots))+2 {
 		d.mu.Unlock()
 		return nil, Full
 	}
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -73,10 +73,31 @@
 }
 
 // longest keeps the longest wait seen on each binding: a request with less
-// time left than that has been tried before, or is part of another.
+// time left than that has been tried before, or is part of another. It also
+// keeps how long the binding's requests usually take.
 type longest struct {
-	mu sync.Mutex
-	m  map[string]time.Duration
+	mu   sync.Mutex
+	m    map[string]time.Duration
+	took map[string]time.Duration
+}
+
+func (l *longest) answered(n string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.took == nil {
+		l.took = map[string]time.Duration{}
+	}
+	o, ok := l.took[n]
+	if !ok {
+		o = d
+	}
+	l.took[n] = o + (d-o)/16
+}
+
+func (l *longest) usual(n string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.took[n]
 }
 
 func (l *longest) first(n string, d time.Duration) bool {
@@ -282,6 +303,7 @@
 		t1 := time.Now()
 		res := t.send(r)
 		if res == answered {
+			t.b.longest.answered(t.route.Name, time.Since(t1))
 			t.b.Flows.add(flow{t.route.Name, t.route.Kind, t.to, r.id, r.node}, time.Since(t1))
 		}
 		if res == turned || res == broken {
@@ -373,13 +395,14 @@
 	out[hdrRank] = []string{strconv.Itoa(t.route.Rank)}
 	left := time.Until(t.due) - t.b.o.Margin
 	out[hdrDeadline] = []string{millis(left)}
-	if w := t.route.Target - time.Since(t.t0); t.fresh && t.route.Target > 0 {
-		left = min(left, w)
+	usual := t.b.longest.usual(t.route.Name)
+	if w := t.route.Target - time.Since(t.t0) - usual/2; t.fresh && t.route.Target > 0 {
+		left = min(left-usual, w)
 	} else {
-		left /= 2
+		left = left/2 - usual
 	}
 	if t.short {
-		left = min(left, max(time.Duration(r.work.Load()), 20*time.Millisecond)*3/2)
+		left = min(left, max(usual/2, 10*time.Millisecond))
 	}
 	out[hdrWait] = []string{millis(left)}
 	if !t.fresh {
