--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -105,7 +105,7 @@
 
 	app := trunk.Transport(300*time.Millisecond, 0, 4*time.Second, 64)
 	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: o.Self.AppAddr, Desk: sub, Line: app, Note: p.note("inbound"),
-		Suspect: func() {}, Peek: 64 << 10})
+		Peek: 64 << 10})
 	between := trunk.Transport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
 	between.ExpectContinueTimeout = time.Second
 	budget := switchboard.NewBudget(bd.RetryRatio/2, max(bd.RetrySlack/2/16, 1))
--- a/cmd/corkcove/tools.go
+++ b/cmd/corkcove/tools.go
@@ -199,7 +199,7 @@
 }
 
 func (t *tool) estimate(c erlang.Change, save string) error {
-	os, s, err := t.origins()
+	from, s, err := t.origins()
 	if err != nil {
 		return err
 	}
@@ -209,7 +209,7 @@
 			es = append(es, &trunk.Endpoint{Id: n.Endpoint, Service: n.Service, Site: n.Site, Slots: n.Slots, State: n.Official, Node: n.Name})
 		}
 	}
-	e, err := erlang.Run(os, es, c, erlang.Options{Span: 120 * time.Second, Seed: 1})
+	e, err := erlang.Run(from, es, c, erlang.Options{Span: 120 * time.Second, Seed: 1})
 	if err != nil {
 		return err
 	}
@@ -218,7 +218,7 @@
 		if err != nil {
 			return err
 		}
-		if err := writeFile(save, b); err != nil {
+		if err := os.WriteFile(save, append(b, '\n'), 0o644); err != nil {
 			return err
 		}
 	}
@@ -255,8 +255,6 @@
 	return nil
 }
 
-func writeFile(name string, b []byte) error { return os.WriteFile(name, append(b, '\n'), 0o644) }
-
 func (t *tool) checkEstimate(file string, within float64) error {
 	b, err := os.ReadFile(file)
 	if err != nil {
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -85,11 +85,6 @@
 	cb    func(error)
 }
 
-type tail struct {
-	e    *trunk.Entry
-	size int
-}
-
 type shard struct {
 	ix     int
 	table  Table
@@ -99,7 +94,6 @@
 
 	promised   uint64
 	promisedBy string
-	pledgedAt  time.Duration
 	heldUntil  time.Duration
 	rumour     string
 	rumourTo   time.Duration
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -233,7 +233,7 @@
 	for _, s := range ss {
 		e := max(s.promised, s.asked, s.epoch) + 1
 		s.role, s.since, s.asked = asking, now, e
-		s.promised, s.promisedBy, s.pledgedAt = e, b.me.Id, now
+		s.promised, s.promisedBy = e, b.me.Id
 		s.heldUntil = 0
 		s.oks = map[string]bool{}
 		s.best, s.bestAt, s.bestSt = nil, s.epoch, s.stamp
@@ -314,7 +314,7 @@
 			continue
 		}
 		b.depose(s, a.Epoch, "promised to another")
-		s.promised, s.promisedBy, s.pledgedAt = a.Epoch, from, now
+		s.promised, s.promisedBy = a.Epoch, from
 		s.heldUntil = max(s.heldUntil, now+b.o.Hold/2)
 		x.Ok, x.Promised = true, a.Epoch
 		x.HaveEpoch, x.HaveStamp = s.epoch, s.stamp
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -263,6 +264,7 @@
 	a.mu.Lock()
 	n := a.node
 	a.mu.Unlock()
+	known := a.cores()
 	found := make(chan string, 1)
 	var wg sync.WaitGroup
 	var ask func(addr string, deep int)
@@ -286,14 +288,14 @@
 		}
 		if deep > 0 {
 			for _, m := range r.Roll.GetMembers() {
-				if !a.known(m.Addr) {
+				if !slices.Contains(known, m.Addr) {
 					wg.Add(1)
 					go ask(m.Addr, deep-1)
 				}
 			}
 		}
 	}
-	for _, c := range a.cores() {
+	for _, c := range known {
 		wg.Add(1)
 		go ask(c, 1)
 	}
@@ -311,12 +313,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func (a *Agent) known(addr string) bool {
-	for _, c := range a.cores() {
-		if c == addr {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -3,7 +3,6 @@
 package switchboard
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -143,11 +142,6 @@
 	}
 }
 
-func timedOut(err error) bool {
-	var ne net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
-}
-
 func dialFailed(err error) bool {
 	var oe *net.OpError
 	return errors.As(err, &oe) && oe.Op == "dial"
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -19,7 +19,6 @@
 	Desk    *subscriber.Desk
 	Line    *http.Transport
 	Note    func(f string, a ...any)
-	Suspect func()
 	Peek    int
 }
 
@@ -144,12 +143,10 @@
 			return v.say(sayLate, "deadline")
 		case dialFailed(err):
 			n.o.Desk.Refused(v.life)
-			n.o.Suspect()
 			return v.say(sayRefused, "dial")
 		case !sent.Load():
 			return v.say(sayRefused, "unsent")
 		}
-		n.o.Suspect()
 		return v.say(sayLost, err.Error())
 	}
 	defer p.Body.Close()
@@ -159,9 +156,6 @@
 	}
 	if _, turned := p.Header[hdrNotRun]; turned || p.StatusCode == http.StatusMisdirectedRequest {
 		stream(io.Discard, io.LimitReader(p.Body, 4<<10))
-		if p.StatusCode == http.StatusMisdirectedRequest {
-			n.o.Suspect()
-		}
 		return v.say(sayTurned, strconv.Itoa(p.StatusCode))
 	}
 	if p.StatusCode/100 == 2 && p.Header.Get(hdrSeal) == "" || p.Header.Get("Content-Encoding") != "" {
--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -128,7 +128,7 @@
 		go e.serve(m.h.listen(fmt.Sprint("app", i)))
 		d := subscriber.New(subscriber.Options{Service: "s", Beat: time.Hour, Missed: 3, Queue: 1, Note: func(string, ...any) {}, Changed: func(subscriber.Life) {}})
 		d.Beat(subscriber.Beat{ID: e.id, Slots: 2, State: "ready", Seq: 1})
-		in := NewInbound(InboundOptions{AppAddr: fmt.Sprint("app", i), Desk: d, Line: m.h.line(), Suspect: func() {}, Peek: 64 << 10})
+		in := NewInbound(InboundOptions{AppAddr: fmt.Sprint("app", i), Desk: d, Line: m.h.line(), Peek: 64 << 10})
 		go (&http.Server{Handler: in}).Serve(m.h.listen(fmt.Sprint("in", i)))
 		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: e.id, Service: "s", Inbound: fmt.Sprint("in", i), Site: "z", Slots: 2, State: "up"})
 		m.eps, m.subs = append(m.eps, e), append(m.subs, d)
