--- a/internal/switchboard/budget.go
+++ b/internal/switchboard/budget.go
@@ -20,11 +20,14 @@
 // spends at most its share of the slack and of what its own requests of the
 // last window allow, so that the sum over all nodes stays under the site's
 // bound whatever their number; half of both is left for repeats that others
-// cause and for nodes that come and go.
+// cause and for nodes that come and go. A node that has just started grows into
+// its share over one window.
 type Budget struct {
 	ratio  float64
 	slack  float64
+	window time.Duration
 	bucket time.Duration
+	since  time.Duration
 	nodes  func() int
 	now    func() time.Duration
 	mu     sync.Mutex
@@ -32,7 +35,7 @@
 }
 
 func NewBudget(ratio, slack float64, window time.Duration, nodes func() int, now func() time.Duration) *Budget {
-	return &Budget{ratio: ratio / 2, slack: slack / 2, bucket: max(window/budgetBuckets, time.Millisecond), nodes: nodes, now: now, by: map[string]*used{}}
+	return &Budget{ratio: ratio / 2, slack: slack / 2, window: max(window, budgetBuckets), bucket: max(window/budgetBuckets, 1), since: now(), nodes: nodes, now: now, by: map[string]*used{}}
 }
 
 func (b *Budget) turn(service string) *used {
@@ -64,7 +67,8 @@
 }
 
 func (b *Budget) left(u *used) float64 {
-	return b.ratio*u.sumA + b.slack/float64(max(b.nodes(), 1)) - u.sumS
+	grown := min(float64(b.now()-b.since)/float64(b.window), 1)
+	return b.ratio*u.sumA + grown*b.slack/float64(max(b.nodes(), 1)) - u.sumS
 }
 
 func (b *Budget) Spend(service string) bool {
--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -116,8 +116,20 @@
 {"variant":"bindingList","metadata":{"name":"b"},"specification":{"hostname":"a","pathPrefix":"/b/","bindingKind":"pure","timeoutS":3,"targetS":0.5,"serviceName":"s","policyText":"method == 'GET'"}},
 {"variant":"serviceList","metadata":{"name":"s"},"specification":{"soundnessPath":"/h"}}]}`
 
+// grownUp is a clock by which a budget has its whole share from the start.
+func grownUp() func() time.Duration {
+	first := true
+	return func() time.Duration {
+		if first {
+			first = false
+			return 0
+		}
+		return time.Minute
+	}
+}
+
 func newMesh(t *testing.T, n int) *mesh {
-	m := &mesh{h: &hall{ls: map[string]*pipes{}}, bud: NewBudget(0, 200, 10*time.Second, func() int { return 1 }, func() time.Duration { return 0 })}
+	m := &mesh{h: &hall{ls: map[string]*pipes{}}, bud: NewBudget(0, 200, 10*time.Second, func() int { return 1 }, grownUp())}
 	v := &trunk.View{Stamp: 1, Nodes: uint32(n)}
 	pools := NewPools("z", 1, 1)
 	for i := 0; i < n; i++ {
--- /dev/null
+++ b/internal/trunk/pack_test.go
@@ -0,0 +1,39 @@
+package trunk
+
+import (
+	"sort"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestViewsGoOutAsDifferences(t *testing.T) {
+	e := func(id, st string) *Endpoint { return &Endpoint{Id: id, State: st} }
+	a := &View{Epoch: 2, Stamp: 5, Nodes: 3, Roll: &Roll{Stamp: 1}, Endpoints: []*Endpoint{e("a", "up"), e("b", "up"), e("c", "up")}, NodeLines: []string{"n x"}}
+	b := &View{Epoch: 2, Stamp: 6, Nodes: 4, Roll: &Roll{Stamp: 1}, Endpoints: []*Endpoint{e("a", "up"), e("b", "draining"), e("d", "up")}}
+	d := b.Since(a)
+	qt.Assert(t, len(d.Endpoints), qt.Equals, 2)
+	qt.Assert(t, d.Gone, qt.DeepEquals, []string{"c"})
+	qt.Assert(t, d.Roll, qt.IsNil)
+	x := d.Onto(a)
+	var got []string
+	for _, y := range x.Endpoints {
+		got = append(got, y.Id+y.State)
+	}
+	sort.Strings(got)
+	qt.Assert(t, got, qt.DeepEquals, []string{"aup", "bdraining", "dup"})
+	qt.Assert(t, x.Stamp == 6 && x.Nodes == 4 && x.Roll.Stamp == 1 && x.Base == 0, qt.IsTrue)
+	qt.Assert(t, a.Lean().NodeLines, qt.IsNil)
+}
+
+func TestUnpackRefusesWhatIsNoPack(t *testing.T) {
+	s := strings.Repeat("bindingList", 1000)
+	p := Pack([]byte(s))
+	qt.Assert(t, len(p) < len(s)/10, qt.IsTrue)
+	b, err := Unpack(p)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(b), qt.Equals, s)
+	_, err = Unpack(p[:len(p)/2])
+	qt.Assert(t, err, qt.IsNotNil)
+}
