--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -84,7 +84,7 @@
 	if b := t.Blob(desk.ConfigBlob); b != nil {
 		c := &trunk.Config{}
 		if proto.Unmarshal(b.Data, c) == nil {
-			return c.Stamp, c.Doc
+			return c.Stamp, c.Packed
 		}
 	}
 	return 0, nil
@@ -236,7 +236,7 @@
 	loop := exchange.NewLoop()
 	c := &coreNode{process: p, loop: loop, svc: numbering.NewService(loop, shards)}
 	c.master = supervisor.NewMaster(supervisor.Options{
-		Interval: 250 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond, Linger: time.Second,
+		Interval: 250 * time.Millisecond, PerNode: 4 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond, Linger: 2 * time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
 		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
 		Held: func() bool { return c.board.Held() },
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -90,7 +90,7 @@
 	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
 	pools := switchboard.NewPools(o.Self.SiteName, 2.2, 5)
 	var plan atomic.Pointer[dialplan.Table]
-	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 1400 * time.Millisecond,
+	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 2400 * time.Millisecond,
 		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
 	ag.OnView = pools.Set
 	ag.Start(&trunk.NodeState{Name: o.Self.NodeName, Life: ag.Life, Addr: o.InnerAddr(), Inbound: o.Network.Listen.Inbound,
--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -30,6 +31,9 @@
 	Patient time.Duration
 	Step    time.Duration
 	Acked   func(stamp uint64)
+
+	mu   sync.Mutex
+	last dialplan.Doc
 }
 
 type lockReq struct {
@@ -262,7 +266,29 @@
 	if x.Stamp == 0 {
 		return verdict{out: absent, why: "no configuration yet"}
 	}
-	return verdict{body: x.Doc}
+	doc, err := trunk.Unpack(x.Packed)
+	if err != nil {
+		return verdict{out: unsure}
+	}
+	return verdict{body: doc}
+}
+
+// doc reads a kept configuration, or takes the one read last if it is the same.
+func (d *Core) doc(c *trunk.Config) (dialplan.Doc, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.last.Stamp == c.Stamp {
+		return d.last, nil
+	}
+	b, err := trunk.Unpack(c.Packed)
+	if err != nil {
+		return dialplan.Doc{}, err
+	}
+	x, err := dialplan.Read(b)
+	if err == nil {
+		d.last = x
+	}
+	return x, err
 }
 
 type taking struct {
@@ -284,7 +310,7 @@
 			if cur.Stamp == 0 {
 				return dialplan.Doc{}, dialplan.Error.New("there is no configuration to change")
 			}
-			old, err := dialplan.Read(cur.Doc)
+			old, err := d.doc(cur)
 			if err != nil {
 				return dialplan.Doc{}, err
 			}
@@ -334,7 +360,7 @@
 		write(w, verdict{out: unprocessable, why: err.Error()})
 		return
 	}
-	next := &trunk.Config{Stamp: stamp, Doc: doc.Write(), Taken: append(cur.Taken, &trunk.Taken{Stamp: stamp, Sum: sum[:]})}
+	next := &trunk.Config{Stamp: stamp, Packed: trunk.Pack(doc.Write()), Taken: append(cur.Taken, &trunk.Taken{Stamp: stamp, Sum: sum[:]})}
 	if n := len(next.Taken); n > keepTaken {
 		next.Taken = next.Taken[n-keepTaken:]
 	}
@@ -365,6 +391,9 @@
 		write(w, verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(r.now)})
 		return
 	}
+	d.mu.Lock()
+	d.last = doc
+	d.mu.Unlock()
 	if d.Acked != nil {
 		d.Acked(stamp)
 	}
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -109,6 +109,7 @@
 	base    uint64
 	serving bool
 	settled uint64
+	pending time.Duration
 	tails   []*trunk.Entry
 	waits   []wait
 	succ    string
@@ -125,6 +126,7 @@
 	holding bool
 	copying bool
 	nextAt  time.Duration
+	pushed  time.Duration
 	grants  []time.Duration
 	acked   []uint64
 	known   []uint64
@@ -138,6 +140,7 @@
 	roll   *trunk.Roll
 	shards []*shard
 	peers  map[string]*peer
+	near   []*peer
 
 	diskBad  bool
 	outs     []time.Duration
@@ -294,6 +297,7 @@
 		n[m.Id] = p
 	}
 	b.peers = n
+	b.rank()
 }
 
 func (b *Board) alive(id string) bool {
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -48,7 +49,10 @@
 			b.advance(s)
 		}
 	})
-	for _, p := range b.peers {
+	if s.commit+1 >= s.stamp {
+		s.pending = b.now()
+	}
+	for _, p := range b.near {
 		b.push(p)
 	}
 }
@@ -152,11 +156,54 @@
 	b.release(s)
 }
 
+// spreadOut sends changes to the peers that did not get them at once: those
+// that a majority does not need, in turns, and all if a majority is slow.
+func (b *Board) spreadOut() {
+	now := b.now()
+	late := false
+	for _, s := range b.shards {
+		late = late || (s.role == owner || s.role == handing) && (s.role == handing || !s.serving || s.commit < s.stamp && now-s.pending > b.o.Hold/20)
+	}
+	for _, p := range b.peers {
+		if late || now-p.pushed >= b.o.Beat {
+			b.push(p)
+		}
+	}
+	b.rank()
+}
+
+// rank puts first the peers whose copies make a majority: sound ones, by
+// preference of this site.
+func (b *Board) rank() {
+	b.near = b.near[:0]
+	for _, m := range b.roll.Members {
+		if p := b.peers[m.Id]; p != nil {
+			b.near = append(b.near, p)
+		}
+	}
+	cost := func(p *peer) int {
+		n := 0
+		if !b.ready(p.m.Id) {
+			n += 4
+		}
+		if p.copying && b.now()-p.pushed > b.o.Hold/20 {
+			n += 2
+		}
+		if p.m.Site != b.me.Site {
+			n++
+		}
+		return n
+	}
+	sort.SliceStable(b.near, func(i, j int) bool { return cost(b.near[i]) < cost(b.near[j]) })
+	b.near = b.near[:min(len(b.near), max(b.majority()-1, 2))]
+}
+
 func (b *Board) push(p *peer) {
 	now := b.now()
 	if p.copying || now < p.nextAt || b.blank {
 		return
 	}
+	p.pushed = now
 	q := &trunk.CopyReq{}
 	size := 0
 	for _, s := range b.shards {
@@ -216,7 +263,9 @@
 			b.advance(s)
 			b.relet(s)
 		}
-		b.push(p)
+		if slices.Contains(b.near, p) {
+			b.push(p)
+		}
 	})
 }
 
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -47,9 +47,7 @@
 			}
 		}
 	}
-	for _, p := range b.peers {
-		b.push(p)
-	}
+	b.spreadOut()
 	b.askAll()
 	b.manage()
 }
@@ -385,7 +383,7 @@
 		return
 	}
 	p := b.peers[f]
-	if now-p.soundAt < 3*b.o.Hold || p.known[s.ix] != s.epoch || p.acked[s.ix]+8 < s.stamp {
+	if now-p.soundAt < 3*b.o.Hold || p.known[s.ix] != s.epoch || p.acked[s.ix]+64 < s.stamp {
 		return
 	}
 	for _, x := range b.shards {
@@ -398,6 +396,9 @@
 
 func (b *Board) hand(s *shard, to string) {
 	s.role, s.succ, s.since = handing, to, b.now()
+	if p := b.peers[to]; p != nil {
+		b.push(p)
+	}
 	b.finishHand(s)
 }
 
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -17,7 +17,9 @@
 }
 
 type Options struct {
-	Interval   time.Duration
+	Interval time.Duration
+	// PerNode lengthens the interval with the number of nodes to tell.
+	PerNode    time.Duration
 	Settle     time.Duration
 	Transition time.Duration
 	Linger     time.Duration
@@ -240,20 +242,23 @@
 	return out
 }
 
-// SetConfig hands a newly committed configuration to all nodes at once.
-func (m *Master) SetConfig(stamp uint64, doc []byte) {
+// SetConfig hands a newly committed configuration, which comes packed, to all
+// nodes at once.
+func (m *Master) SetConfig(stamp uint64, packed []byte) {
 	if stamp > m.conf {
+		doc, err := trunk.Unpack(packed)
+		if err != nil {
+			m.note("configuration %d can't be unpacked: %v", stamp, err)
+			return
+		}
+		var st []step
 		if m.conf > 0 {
 			if from, p, err := dialplan.Diff(m.doc, doc); err == nil && from == m.conf {
-				m.steps = append(m.steps, step{from, stamp, trunk.Pack(p)})
-				if len(m.steps) > keepSteps {
-					m.steps = append([]step(nil), m.steps[1:]...)
-				}
-			} else {
-				m.steps = nil
+				st = append(m.steps, step{from, stamp, trunk.Pack(p)})
+				st = append([]step(nil), st[max(len(st)-keepSteps, 0):]...)
 			}
 		}
-		m.conf, m.doc, m.packed = stamp, doc, nil
+		m.conf, m.doc, m.packed, m.steps = stamp, doc, packed, st
 	}
 	if !m.leading {
 		return
@@ -273,21 +278,14 @@
 			size += len(s.patch)
 		}
 	}
-	if m.packed != nil && size > len(m.packed) {
+	if size > len(m.packed) {
 		return nil
 	}
 	return out
 }
 
-// Packed is the configuration in force, deflated once for all.
-func (m *Master) Packed() (uint64, []byte) {
-	if m.packed == nil && m.conf > 0 {
-		m.packed = trunk.Pack(m.doc)
-	}
-	return m.conf, m.packed
-}
-
-func (m *Master) Config() (uint64, []byte) { return m.conf, m.doc }
+// Config is the configuration in force, packed.
+func (m *Master) Config() (uint64, []byte) { return m.conf, m.packed }
 
 func (m *Master) View() *trunk.View { return m.view }
 
@@ -459,7 +457,7 @@
 		m.judged = now
 		m.touch()
 	}
-	if now-m.made < m.o.Interval || now-m.changed < m.o.Settle {
+	if now-m.made < max(m.o.Interval, time.Duration(len(m.hs))*m.o.PerNode) || now-m.changed < m.o.Settle {
 		return
 	}
 	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && m.view.Roll.GetStamp() == m.roll.GetStamp() && len(m.view.NodeLines) == len(m.hs) {
@@ -599,7 +597,7 @@
 		}
 	}
 	if q.Base == 0 {
-		_, q.Data = m.Packed()
+		q.Data = m.packed
 	}
 	n := m.lines.Node(h.state.Addr)
 	go func() {
--- /dev/null
+++ b/internal/switchboard/course.go
@@ -0,0 +1,183 @@
+package switchboard
+
+import (
+	"time"
+
+	"corkcove/internal/dialplan"
+)
+
+type result int
+
+const (
+	answered result = iota
+	bounced
+	unmet
+	turned
+	broken
+	timeout
+	quit
+)
+
+// Move is what a course wants next.
+type Move int
+
+const (
+	Go Move = iota
+	Pause
+	Stop
+)
+
+// shortTries endpoints are asked for a short wait, then the best for a long one.
+const (
+	shortTries = 2
+	mostTries  = 12
+	mostUnmet  = 5
+)
+
+// Course decides, dispatch by dispatch, what becomes of one request. It knows
+// no clock and no wire: live requests and replayed ones go through it alike.
+type Course struct {
+	pools    *Pools
+	budget   *Budget
+	route    *dialplan.Route
+	to       string
+	heavy    bool
+	only     string
+	again    time.Duration
+	arrivals int
+	tries    int
+	full     int
+	missed   int
+	mayRun   bool
+	wide     bool
+	tried    []*remote
+	ran      []*remote
+}
+
+func NewCourse(p *Pools, b *Budget, route *dialplan.Route, to string, heavy bool) Course {
+	return Course{pools: p, budget: b, route: route, to: to, heavy: heavy}
+}
+
+func (c *Course) most() int { return max(c.route.MaxAttempts, 1) }
+
+// more tells that another arrival is allowed after the one under way.
+func (c *Course) more() bool { return c.arrivals+1 < c.most() }
+
+func (c *Course) short() bool { return c.only == "" && c.full < shortTries }
+
+func (c *Course) choose() *remote {
+	if c.only != "" {
+		return c.pools.find(c.to, c.only)
+	}
+	r := c.pools.pick(want{service: c.to, heavy: c.heavy, pure: c.route.Kind.Repeatable(), aim: c.route.Target, tried: c.tried, wide: c.wide})
+	if r != nil {
+		c.tried = append(c.tried, r)
+	}
+	return r
+}
+
+// next names the endpoint for the next dispatch, which the budget has paid for
+// where it is a second arrival.
+func (c *Course) next() (*remote, Move) {
+	if c.tries >= mostTries || c.arrivals >= c.most() {
+		return nil, Stop
+	}
+	if c.full == shortTries {
+		c.tried = c.ran
+	}
+	c.tries++
+	r := c.choose()
+	if r == nil {
+		if c.full > 0 || c.tries > 1 {
+			return nil, Stop
+		}
+		return nil, Pause
+	}
+	if c.arrivals > 0 && !c.budget.Spend(c.to) {
+		return nil, Stop
+	}
+	return r, Go
+}
+
+// got takes what became of a dispatch that brought no answer. Done tells that
+// the request ends with the outcome.
+func (c *Course) got(r *remote, res result, started bool) (o outcome, done bool) {
+	switch res {
+	case bounced:
+		c.full++
+		if e := r.wait(); c.again == 0 || e < c.again {
+			c.again = e
+		}
+		c.unspend()
+		if c.full > shortTries || started || c.only != "" {
+			return refused, true
+		}
+		return 0, false
+	case unmet:
+		c.unspend()
+		c.missed++
+		return refused, c.missed > mostUnmet || started || c.only != ""
+	case turned:
+		c.ran = append(c.ran, r)
+		c.arrivals++
+		c.wide = true
+		return refused, started || c.only != ""
+	case broken:
+		c.ran = append(c.ran, r)
+		c.arrivals++
+		c.mayRun = true
+		return lost, !c.route.Kind.Repeatable() || started
+	}
+	c.mayRun = true
+	return late, true
+}
+
+func (c *Course) unspend() {
+	if c.arrivals > 0 {
+		c.budget.refund(c.to)
+	}
+}
+
+// mayRace tells that a second dispatch may go out while the first is silent.
+func (c *Course) mayRace() bool {
+	return c.route.Kind.Repeatable() && !c.heavy && c.only == "" && c.more()
+}
+
+// second names the endpoint for a dispatch beside the one under way.
+func (c *Course) second() *remote {
+	if !c.budget.Afford(c.to) {
+		return nil
+	}
+	r := c.choose()
+	if r == nil || !c.budget.Spend(c.to) {
+		return nil
+	}
+	c.arrivals++
+	return r
+}
+
+// lost takes what became of the one of two dispatches that ended first.
+func (c *Course) lost(r *remote, res result) {
+	switch res {
+	case bounced, unmet:
+		c.arrivals--
+		c.budget.refund(c.to)
+	case broken, timeout:
+		c.mayRun = true
+		c.ran = append(c.ran, r)
+	}
+}
+
+// end is the outcome of a request that was given up with o.
+func (c *Course) end(o outcome, past bool) outcome {
+	if c.mayRun && (o == refused || o == expired) {
+		o = lost
+		if past {
+			o = late
+		}
+	}
+	if o == refused && past {
+		o = expired
+	}
+	return o
+}
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -11,18 +11,6 @@
 	"time"
 )
 
-type result int
-
-const (
-	answered result = iota
-	bounced
-	unmet
-	turned
-	broken
-	timeout
-	quit
-)
-
 // reply is what became of one dispatch; a good one still holds its stream.
 type reply struct {
 	r     *remote
@@ -44,90 +32,35 @@
 	}
 }
 
-// shortTries endpoints are asked for a short wait, then the best for a long one.
-const (
-	shortTries = 2
-	mostTries  = 12
-)
-
 func (t *trip) dispatch() bool {
-	most := max(t.route.MaxAttempts, 1)
 	t.b.o.Budget.Earn(t.to)
-	full, missed := 0, 0
-	for n := 0; n < mostTries; n++ {
-		if time.Now().After(t.due) || t.ctx.Err() != nil {
-			break
-		}
-		if full == shortTries {
-			t.tried = t.ran
-		}
-		r := t.choose()
-		if r == nil {
-			if full > 0 || n > 0 || !t.pause(20*time.Millisecond) {
+	t.course = NewCourse(t.b.o.Pools, t.b.o.Budget, t.route, t.to, t.heavy())
+	c := &t.course
+	for time.Now().Before(t.due) && t.ctx.Err() == nil {
+		r, m := c.next()
+		if m == Pause {
+			if !t.pause(20 * time.Millisecond) {
 				break
 			}
 			continue
 		}
-		if t.arrivals > 0 && !t.b.o.Budget.Spend(t.to) {
+		if m == Stop {
 			break
 		}
-		y := t.race(r, full < shortTries, most)
-		if y.res == turned || y.res == broken {
-			t.ran = append(t.ran, y.r)
-		}
-		switch y.res {
-		case answered:
+		y := t.race(r)
+		if y.res == answered {
 			return t.relay(y)
-		case bounced:
-			full++
-			if e := y.r.wait(); t.again == 0 || e < t.again {
-				t.again = e
-			}
-			if t.arrivals > 0 {
-				t.b.o.Budget.refund(t.to)
-			}
-			if full > shortTries || t.started {
-				return t.give(refused)
-			}
-			continue
-		case unmet:
-			if t.arrivals > 0 {
-				t.b.o.Budget.refund(t.to)
-			}
-			if missed++; missed > 5 || t.started {
-				return t.give(refused)
-			}
-			continue
-		case turned:
-			t.arrivals++
-			t.wide = true
-		case broken:
-			t.arrivals++
-			t.mayRun = true
-			if !t.route.Kind.Repeatable() {
-				return t.give(lost)
-			}
-		case timeout:
-			t.mayRun = true
-			return t.give(late)
-		case quit:
+		}
+		if y.res == quit {
 			return true
 		}
-		if t.arrivals >= most || t.started {
-			break
+		if o, done := c.got(y.r, y.res, t.started); done {
+			return t.give(o)
 		}
 	}
 	return t.give(refused)
 }
 
-func (t *trip) choose() *remote {
-	r := t.b.o.Pools.pick(want{service: t.to, heavy: t.heavy(), pure: t.route.Kind.Repeatable(), aim: t.route.Target, tried: t.tried, wide: t.wide})
-	if r != nil {
-		t.tried = append(t.tried, r)
-	}
-	return r
-}
-
 // patience is how long an endpoint may be silent before it counts as ill.
 func (t *trip) patience() time.Duration {
 	return max(4*t.b.longest.usual(t.route.Name), 500*time.Millisecond)
@@ -136,9 +69,11 @@
 // race dispatches to r. A request that may run twice gets a second dispatch,
 // paid by the budget, once the first has been silent for much longer than
 // usual; the first good answer counts, and the other is let end by itself.
-func (t *trip) race(r *remote, short bool, most int) reply {
-	if !t.route.Kind.Repeatable() || !t.whole || t.heavy() || t.arrivals+1 >= most {
-		return t.attempt(t.ctx, r, short, t.arrivals+1 < most)
+func (t *trip) race(r *remote) reply {
+	c := &t.course
+	short := c.short()
+	if !t.whole || !c.mayRace() {
+		return t.attempt(t.ctx, r, short, c.more())
 	}
 	type lane struct {
 		y     reply
@@ -146,11 +81,11 @@
 	}
 	ch := make(chan lane, 2)
 	var ends [2]func() bool
-	start := func(i int, r *remote, more bool) {
+	start := func(i int, r *remote) {
 		ctx, stop := context.WithDeadline(context.WithoutCancel(t.r.Context()), t.due)
 		ends[i] = context.AfterFunc(t.r.Context(), stop)
 		go func() {
-			y := t.attempt(ctx, r, short, more)
+			y := t.attempt(ctx, r, short, true)
 			y.end = stop
 			if y.res != answered {
 				stop()
@@ -158,7 +93,7 @@
 			ch <- lane{y, i == 0}
 		}()
 	}
-	start(0, r, true)
+	start(0, r)
 	w := time.NewTimer(min(t.patience(), time.Until(t.due)/2))
 	defer w.Stop()
 	select {
@@ -167,13 +102,13 @@
 	case <-w.C:
 	}
 	var o *remote
-	if t.ctx.Err() == nil && t.b.o.Budget.Afford(t.to) {
-		o = t.choose()
+	if t.ctx.Err() == nil {
+		o = c.second()
 	}
-	if o == nil || !t.b.o.Budget.Spend(t.to) {
+	if o == nil {
 		return (<-ch).y
 	}
-	start(1, o, true)
+	start(1, o)
 	l := <-ch
 	if l.y.res == answered || l.y.res == quit {
 		i := 1
@@ -182,16 +117,10 @@
 		}
 		ends[i]()
 		go func() { (<-ch).y.drop() }()
-		t.arrivals++
 		return l.y
 	}
-	k := <-ch
-	t.arrivals++
-	if l.y.res == bounced || l.y.res == unmet {
-		t.b.o.Budget.refund(t.to)
-		t.arrivals--
-	}
-	return k.y
+	c.lost(l.y.r, l.y.res)
+	return (<-ch).y
 }
 
 // attempt makes one dispatch and reads the start of its answer.
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -135,13 +135,8 @@
 	rest    io.Reader
 	started bool
 
-	fresh    bool
-	again    time.Duration
-	arrivals int
-	mayRun   bool
-	tried    []*remote
-	ran      []*remote
-	wide     bool
+	fresh  bool
+	course Course
 }
 
 func (t *trip) later(f func()) { t.clean = append(t.clean, f) }
@@ -153,7 +148,7 @@
 	h["Date"] = nil
 	h["Content-Type"] = []string{"text/plain"}
 	if x.again > 0 {
-		d := max(x.again, min(t.again, time.Second))
+		d := max(x.again, min(t.course.again, time.Second))
 		d += time.Duration(rand.Int64N(int64(d)))
 		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
 	}
@@ -271,16 +266,7 @@
 	if t.r.Context().Err() != nil {
 		return true
 	}
-	if t.mayRun && (o == refused || o == expired) {
-		o = lost
-		if time.Now().After(t.due) {
-			o = late
-		}
-	}
-	if o == refused && time.Now().After(t.due) {
-		o = expired
-	}
-	return t.answer(o)
+	return t.answer(t.course.end(o, time.Now().After(t.due)))
 }
 
 func (t *trip) pause(d time.Duration) bool {
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -272,6 +272,17 @@
 	return spare
 }
 
+func (p *Pools) find(service, id string) *remote {
+	if y := p.cur.Load().by[service]; y != nil {
+		for _, r := range y.all {
+			if r.id == id && r.up && !r.drained.Load() {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
 // least leaves out grey and shunned endpoints unless there are no others.
 func (p *Pools) least(rs []*remote, w want, now int64, far, usual float64) (best *remote, bs float64, spare *remote) {
 	var grey *remote
