--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -246,8 +246,12 @@
 		Me:    &trunk.Member{Addr: o.InnerAddr(), Control: o.Network.Listen.Control, Site: o.Self.SiteName},
 		Seeds: members(o), First: o.Self.FirstStart, Shards: shards,
 		Hold: holdFor, Beat: beatEach, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 4 << 20,
-		NewTable: func() exchange.Table { return numbering.NewTable(hist) },
-		NewID:    newID, Now: p.now, Rand: mrand.IntN, Note: p.note("exchange"),
+		NewTable: func() exchange.Table {
+			t := numbering.NewTable(hist)
+			t.BoundPins(options.Secs(o.Pins.IdleS), max(o.Pins.Most/shards, 1))
+			return t
+		},
+		NewID: newID, Now: p.now, Rand: mrand.IntN, Note: p.note("exchange"),
 		OnOwner: c.onOwner, OnCommit: c.onCommit, OnStep: c.onStep,
 		OnRoll: func(r *trunk.Roll) { c.master.Loop.Put(func() { c.master.SetRoll(r) }) },
 	}, exchange.Net{Loop: loop, Lines: lines, Short: 600 * time.Millisecond, Long: 1500 * time.Millisecond}, exchange.Shelf{Loop: loop, Book: book}, recs)
--- /dev/null
+++ b/cmd/corkcove/pins.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"corkcove/internal/cord"
+	"corkcove/internal/exchange"
+	"corkcove/internal/options"
+	"corkcove/internal/supervisor"
+	"corkcove/internal/tracer"
+	"corkcove/internal/trunk"
+)
+
+// Pin answers nodes that ask for the instance of a session.
+func (c *coreNode) Pin(ctx context.Context, q *trunk.PinReq) (*trunk.PinResp, error) {
+	if q.Key == "" || len(q.Allowed) == 0 {
+		return &trunk.PinResp{}, nil
+	}
+	p, err := c.svc.Pin(ctx, q)
+	if errors.Is(err, exchange.ErrElsewhere) {
+		a, _ := exchange.Ask(c.loop, func() string {
+			if m, ok := c.board.Owner(c.svc.Shard("pin " + q.Key)); ok && m.Id != c.board.Me().Id {
+				return m.Addr
+			}
+			return ""
+		})
+		return &trunk.PinResp{OwnerAddr: a}, nil
+	}
+	if err != nil {
+		return &trunk.PinResp{}, nil
+	}
+	return &trunk.PinResp{Ok: true, Service: p.Service, Endpoint: p.Endpoint, Moved: p.Moved, Full: p.Full}, nil
+}
+
+// pinAsker asks the core about sessions; it remembers who answered.
+type pinAsker struct {
+	lines *trunk.Lines
+	ag    *supervisor.Agent
+	mu    sync.Mutex
+	last  map[byte]string
+}
+
+const (
+	pinCall = 250 * time.Millisecond
+	pinHops = 4
+)
+
+var errPin = errors.New("no core node answered")
+
+func (a *pinAsker) ask(ctx context.Context, q *trunk.PinReq) (*trunk.PinResp, error) {
+	a.mu.Lock()
+	first := a.last[q.Key[0]]
+	a.mu.Unlock()
+	todo := a.ag.Cores()
+	if first != "" {
+		todo = append([]string{first}, todo...)
+	}
+	ctx, stop := context.WithTimeout(ctx, 3*pinCall)
+	defer stop()
+	for n := 0; n < pinHops && len(todo) > 0 && ctx.Err() == nil; n++ {
+		to := todo[0]
+		todo = todo[1:]
+		cx, end := context.WithTimeout(ctx, pinCall)
+		r, err := a.lines.Control(to).Pin(cx, q)
+		end()
+		switch {
+		case err != nil:
+		case r.Ok:
+			a.mu.Lock()
+			a.last[q.Key[0]] = to
+			a.mu.Unlock()
+			return r, nil
+		case r.OwnerAddr != "":
+			todo = append([]string{r.OwnerAddr}, todo...)
+		}
+	}
+	return nil, errPin
+}
+
+func (p *process) newCords(lines *trunk.Lines, ag *supervisor.Agent) *cord.Cords {
+	a := &pinAsker{lines: lines, ag: ag, last: map[byte]string{}}
+	idle := options.Secs(p.o.Pins.IdleS)
+	return cord.New(cord.Options{Ask: a.ask, Now: time.Now, Config: ag.Config, Settle: 300 * time.Millisecond, Touch: idle / 8, Idle: idle, Most: p.o.Pins.Most,
+		Trace: func(what, key string) { p.steps.Add(tracer.Step{At: time.Now(), What: what, Kind: "pin " + key}) }})
+}
+
+func (t teller) Sessions(_ context.Context, q *trunk.SessionsReq) (*trunk.SessionsResp, error) {
+	r := &trunk.SessionsResp{Node: t.o.Self.NodeName}
+	if t.cords != nil {
+		r.Sessions, r.Moves, r.Dropped = t.cords.Report(q.Since)
+		r.Config = t.config()
+	}
+	return r, nil
+}
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -109,9 +109,10 @@
 		Peek: 64 << 10})
 	between := trunk.Transport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
 	between.ExpectContinueTimeout = time.Second
+	cords := p.newCords(lines, ag)
 	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
-		Budget: budget, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: budget, Cords: cords, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[2], out)
 	takeConfigs(ag, &plan, func(t *dialplan.Table) { fr.limit(t.Limits) })
 
@@ -120,7 +121,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(ag))
 	far, heavy := pools.Weights()
-	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{p, out.Flows, far, heavy}))
+	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{process: p, flows: out.Flows, far: far, heavy: heavy, cords: cords, config: ag.Config}))
 	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
 	go is.Serve(ls[0])
 	ins := &http.Server{Handler: in, IdleTimeout: 2 * time.Minute}
--- a/cmd/corkcove/tracing.go
+++ b/cmd/corkcove/tracing.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"corkcove/internal/cord"
 	"corkcove/internal/desk"
 	"corkcove/internal/exchange"
 	"corkcove/internal/switchboard"
@@ -14,9 +15,11 @@
 // teller answers the tools' questions of one process.
 type teller struct {
 	*process
-	flows *switchboard.Flows
-	far   float64
-	heavy float64
+	flows  *switchboard.Flows
+	far    float64
+	heavy  float64
+	cords  *cord.Cords
+	config func() uint64
 }
 
 func (t teller) Trace(_ context.Context, q *trunk.TraceReq) (*trunk.TraceResp, error) {
@@ -52,6 +55,8 @@
 		s.Kind, s.Stamp = tracer.Config, g.Blob.Stamp
 	case g.Blob != nil && g.Blob.Name == viewBlob:
 		s.Kind, s.Stamp = tracer.View, g.Blob.Stamp
+	case g.Pin != nil:
+		s.Kind = "pin " + g.Pin.Key
 	case g.Put != nil:
 		s.Kind, s.Stamp = "cell "+g.Put.Name, g.Put.Revision
 	default:
--- /dev/null
+++ b/internal/cord/cord.go
@@ -0,0 +1,333 @@
+// Package cord keeps sessions plugged into the instance they began at. What it
+// knows is a cache of the pins in the control state.
+package cord
+
+import (
+	"cmp"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"corkcove/internal/trunk"
+)
+
+// Why a session moved.
+const (
+	ByConfig = "CONFIG"
+	ByDrain  = "DRAIN"
+	ByEnd    = "ENDED"
+)
+
+type State int
+
+const (
+	Pinned State = iota
+	// Loose: no core answered, so the session follows the hash for now.
+	Loose
+	// Hold: the session must move, and the move is not recorded yet.
+	Hold
+)
+
+// Key is how a session is named in the control state and shown.
+func Key(source, value string) string {
+	h := sha256.Sum256([]byte(source + "\x00" + value))
+	return hex.EncodeToString(h[:12])
+}
+
+// Draw gives a session's place between 0 and 1, the same at every node.
+func Draw(key string) float64 { return float64(xxhash.Sum64String("draw "+key)>>11) / (1 << 53) }
+
+// Candidate names the instance for a new session, by rendezvous hashing.
+func Candidate(key string, ids []string) string {
+	best, at := "", uint64(0)
+	for _, id := range ids {
+		if h := xxhash.Sum64String(key + " " + id); best == "" || h > at || h == at && id < best {
+			best, at = id, h
+		}
+	}
+	return best
+}
+
+type Options struct {
+	Ask    func(context.Context, *trunk.PinReq) (*trunk.PinResp, error)
+	Now    func() time.Time
+	Config func() uint64
+	// Settle is how long an instance must have been out of the view before its
+	// sessions move, so that all nodes have heard of it.
+	Settle time.Duration
+	Touch  time.Duration
+	Idle   time.Duration
+	Most   int
+	Trace  func(what, key string)
+}
+
+// Seats tells of the endpoints that this node's view names.
+type Seats interface {
+	// Sits tells whether the instance takes requests, and why not.
+	Sits(service, id string) (ok bool, why string)
+	Free(service string) []string
+}
+
+type spot struct{ key, service string }
+
+type plug struct {
+	endpoint string
+	pinned   bool
+	config   uint64
+	since    time.Time
+	used     time.Time
+	touched  time.Time
+}
+
+const keepMoves = 1024
+
+type Cords struct {
+	o       Options
+	mu      sync.Mutex
+	plugs   map[spot]plug
+	gone    map[string]time.Time
+	moves   []*trunk.SessionMove
+	dropped uint64
+}
+
+func New(o Options) *Cords {
+	if o.Trace == nil {
+		o.Trace = func(string, string) {}
+	}
+	return &Cords{o: o, plugs: map[spot]plug{}, gone: map[string]time.Time{}}
+}
+
+func (c *Cords) known(key string, allowed []string) (spot, plug, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var at spot
+	var p plug
+	found := false
+	for _, s := range allowed {
+		if x, ok := c.plugs[spot{key, s}]; ok && x.pinned && (!found || x.used.After(p.used)) {
+			at, p, found = spot{key, s}, x, true
+		}
+	}
+	return at, p, found
+}
+
+// elsewhere finds a session of the key in a service that its binding may no
+// longer use.
+func (c *Cords) elsewhere(key string, allowed, before []string) (spot, plug, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, s := range before {
+		if x, ok := c.plugs[spot{key, s}]; ok && x.pinned && !slices.Contains(allowed, s) {
+			return spot{key, s}, x, true
+		}
+	}
+	return spot{}, plug{}, false
+}
+
+func (c *Cords) set(at spot, endpoint string, pinned bool) {
+	now := c.o.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.plugs[at]
+	if !ok || p.endpoint != endpoint {
+		if !ok && len(c.plugs) >= c.o.Most {
+			c.sweep(now)
+		}
+		p = plug{endpoint: endpoint, since: now, config: c.o.Config()}
+	}
+	p.pinned, p.used, p.touched = pinned, now, now
+	c.plugs[at] = p
+}
+
+// sweep forgets idle plugs, and if there are none the tenth used longest ago:
+// their pins stay in the control state.
+func (c *Cords) sweep(now time.Time) {
+	for s, p := range c.plugs {
+		if now.Sub(p.used) > c.o.Idle {
+			delete(c.plugs, s)
+		}
+	}
+	if len(c.plugs) < c.o.Most {
+		return
+	}
+	ss := make([]spot, 0, len(c.plugs))
+	for s := range c.plugs {
+		ss = append(ss, s)
+	}
+	slices.SortFunc(ss, func(a, b spot) int { return c.plugs[a].used.Compare(c.plugs[b].used) })
+	for _, s := range ss[:max(len(ss)/10, 1)] {
+		delete(c.plugs, s)
+		c.dropped++
+	}
+}
+
+func (c *Cords) moved(at spot, to spot, from, dest, why string) {
+	now := c.o.Now()
+	c.mu.Lock()
+	if len(c.moves) >= keepMoves {
+		c.moves = append([]*trunk.SessionMove(nil), c.moves[keepMoves/4:]...)
+		c.dropped += keepMoves / 4
+	}
+	c.moves = append(c.moves, &trunk.SessionMove{Key: at.key, Service: at.service, From: from, To: dest, ToService: to.service, Why: why, Config: c.o.Config(), AtUs: now.UnixMicro()})
+	c.mu.Unlock()
+	c.o.Trace("moved by "+why, at.key)
+}
+
+// settled tells whether the instance has been out for long enough.
+func (c *Cords) settled(id string) (left time.Duration) {
+	now := c.o.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t, ok := c.gone[id]
+	if !ok || now.Sub(t) > time.Minute {
+		if len(c.gone) > 4096 {
+			clear(c.gone)
+		}
+		c.gone[id] = now
+		return c.o.Settle
+	}
+	return c.o.Settle - now.Sub(t)
+}
+
+func (c *Cords) back(id string) {
+	c.mu.Lock()
+	delete(c.gone, id)
+	c.mu.Unlock()
+}
+
+// Ask is a question about the session of one request.
+type Ask struct {
+	Key string
+	// Allowed are the services that the binding may use now, Service the one
+	// that a new session would go to, Before those it used under other versions.
+	Allowed []string
+	Service string
+	Before  []string
+}
+
+type Place struct {
+	Service  string
+	Endpoint string
+	State    State
+	// Wait is after what time it is worth to ask again.
+	Wait time.Duration
+}
+
+// Find gives the instance of a session.
+func (c *Cords) Find(ctx context.Context, q Ask, seats Seats) Place {
+	from, why := "", ""
+	at, p, known := c.known(q.Key, q.Allowed)
+	left := spot{}
+	if !known {
+		if s, x, ok := c.elsewhere(q.Key, q.Allowed, q.Before); ok {
+			left, p, why = s, x, ByConfig
+		}
+	}
+	for range 3 {
+		if known {
+			ok, w := seats.Sits(at.service, p.endpoint)
+			if ok {
+				c.back(p.endpoint)
+				c.use(ctx, at, p, q)
+				return Place{Service: at.service, Endpoint: p.endpoint}
+			}
+			if d := c.settled(p.endpoint); d > 0 {
+				return Place{State: Hold, Wait: d}
+			}
+			from, why = p.endpoint, w
+		}
+		service := q.Service
+		if known && slices.Contains(q.Allowed, at.service) && len(seats.Free(at.service)) > 0 {
+			service = at.service
+		}
+		want := Candidate(q.Key, seats.Free(service))
+		if want == "" {
+			return Place{State: Hold, Wait: c.o.Settle}
+		}
+		r, err := c.o.Ask(ctx, &trunk.PinReq{Key: q.Key, Allowed: q.Allowed, Service: service, Want: want, From: from, Why: why, Config: c.o.Config()})
+		if err != nil || !r.Ok || r.Endpoint == "" {
+			if known {
+				return Place{State: Hold, Wait: c.o.Settle}
+			}
+			c.set(spot{q.Key, service}, want, false)
+			return Place{Service: service, Endpoint: want, State: Loose}
+		}
+		to := spot{q.Key, r.Service}
+		switch {
+		case known && (r.Endpoint != p.endpoint || r.Service != at.service):
+			c.drop(at)
+			c.moved(at, to, p.endpoint, r.Endpoint, why)
+		case left.key != "":
+			c.drop(left)
+			c.moved(left, to, p.endpoint, r.Endpoint, why)
+			left = spot{}
+		}
+		c.set(to, r.Endpoint, true)
+		at, known = to, true
+		p = plug{endpoint: r.Endpoint}
+	}
+	return Place{State: Hold, Wait: c.o.Settle}
+}
+
+func (c *Cords) drop(at spot) {
+	c.mu.Lock()
+	delete(c.plugs, at)
+	c.mu.Unlock()
+}
+
+// use notes a use; now and then it tells the core that the session lives.
+func (c *Cords) use(ctx context.Context, at spot, p plug, q Ask) {
+	now := c.o.Now()
+	c.mu.Lock()
+	x, ok := c.plugs[at]
+	if !ok || x.endpoint != p.endpoint {
+		c.mu.Unlock()
+		return
+	}
+	touch := now.Sub(x.touched) > c.o.Touch
+	x.used = now
+	if touch {
+		x.touched = now
+	}
+	c.plugs[at] = x
+	c.mu.Unlock()
+	if !touch {
+		return
+	}
+	go func() {
+		r, err := c.o.Ask(context.WithoutCancel(ctx), &trunk.PinReq{Key: at.key, Allowed: []string{at.service}, Service: at.service, Want: p.endpoint, Config: c.o.Config()})
+		if err == nil && r.Ok && r.Endpoint != "" && r.Endpoint != p.endpoint {
+			c.moved(at, at, p.endpoint, r.Endpoint, "LEARNT")
+			c.set(at, r.Endpoint, true)
+		}
+	}()
+}
+
+// Report tells of the sessions in use here and of the moves since a
+// configuration.
+func (c *Cords) Report(since uint64) ([]*trunk.Session, []*trunk.SessionMove, uint64) {
+	now := c.o.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ss []*trunk.Session
+	for s, p := range c.plugs {
+		if now.Sub(p.used) <= c.o.Idle {
+			ss = append(ss, &trunk.Session{Key: s.key, Service: s.service, Endpoint: p.endpoint, Pinned: p.pinned, Config: p.config, SinceUs: p.since.UnixMicro(), UsedUs: p.used.UnixMicro()})
+		}
+	}
+	slices.SortFunc(ss, func(a, b *trunk.Session) int {
+		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Service, b.Service))
+	})
+	var ms []*trunk.SessionMove
+	for _, m := range c.moves {
+		if m.Config >= since {
+			ms = append(ms, m)
+		}
+	}
+	return ss, ms, c.dropped
+}
--- a/internal/dialplan/read.go
+++ b/internal/dialplan/read.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net/textproto"
 	"strconv"
 	"strings"
 	"time"
@@ -58,6 +59,47 @@
 	MaxAttempts int
 	Split       []Share
 	Policy      *Policy
+	Pin         PinKey
+}
+
+// PinKey tells where a binding's session key stands; none if Name is empty.
+type PinKey struct {
+	Cookie bool
+	Name   string
+}
+
+func (k PinKey) String() string {
+	switch {
+	case k.Name == "":
+		return ""
+	case k.Cookie:
+		return "cookie " + k.Name
+	}
+	return "header " + k.Name
+}
+
+func token(s string) bool {
+	return s != "" && strings.IndexFunc(s, func(c rune) bool {
+		return c <= ' ' || c > '~' || strings.ContainsRune("\"(),/:;<=>?@[\\]{}", c)
+	}) < 0
+}
+
+// ParsePin reads "header NAME" or "cookie NAME".
+func ParsePin(s string) (PinKey, error) {
+	if s == "" {
+		return PinKey{}, nil
+	}
+	kind, name, _ := strings.Cut(s, " ")
+	if !token(name) {
+		return PinKey{}, fmt.Errorf("%q is no \"header NAME\" or \"cookie NAME\"", s)
+	}
+	switch kind {
+	case "header":
+		return PinKey{Name: textproto.CanonicalMIMEHeaderKey(name)}, nil
+	case "cookie":
+		return PinKey{Cookie: true, Name: name}, nil
+	}
+	return PinKey{}, fmt.Errorf("%q is no \"header NAME\" or \"cookie NAME\"", s)
 }
 
 type Service struct {
@@ -201,6 +243,14 @@
 				p, err := CompilePolicy(s)
 				b.Policy = p
 				return err
+			case "sessionKey":
+				var s string
+				if err := text(d, &s); err != nil {
+					return err
+				}
+				k, err := ParsePin(s)
+				b.Pin = k
+				return err
 			case "weightedSplit":
 				return d.Arr(func(d *jx.Decoder) error {
 					var s Share
--- a/internal/dialplan/table.go
+++ b/internal/dialplan/table.go
@@ -97,3 +97,16 @@
 	}
 	return 0, false
 }
+
+// Allowed names the services that the route may use now.
+func (t *Table) Allowed(r *Route) []string {
+	var out []string
+	last := 0.0
+	for _, w := range r.Ways {
+		if w.Upto > last {
+			out = append(out, t.Services[w.Service].Name)
+		}
+		last = w.Upto
+	}
+	return out
+}
--- /dev/null
+++ b/internal/numbering/pins.go
@@ -0,0 +1,113 @@
+package numbering
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"corkcove/internal/trunk"
+)
+
+type pinKey struct{ key, service string }
+
+type pin struct {
+	endpoint string
+	config   uint64
+	moves    uint32
+	at       time.Duration
+}
+
+// pins are a shard's sessions. Their number is bounded, and one that nobody
+// used for a while is forgotten.
+type pins struct {
+	idle time.Duration
+	most int
+	by   map[pinKey]pin
+}
+
+// BoundPins sets how long an unused pin is kept, and how many a shard keeps.
+func (t *Table) BoundPins(idle time.Duration, most int) { t.pins.idle, t.pins.most = idle, most }
+
+func (p *pins) apply(c *trunk.Pin, now time.Duration) {
+	if len(p.by) >= p.most {
+		p.sweep(now)
+	}
+	p.put(c, now)
+}
+
+func (p *pins) put(c *trunk.Pin, at time.Duration) {
+	p.by[pinKey{c.Key, c.Service}] = pin{c.Endpoint, c.Config, c.Moves, at}
+}
+
+func (p *pins) sweep(now time.Duration) {
+	for k, x := range p.by {
+		if now-x.at > p.idle {
+			delete(p.by, k)
+		}
+	}
+}
+
+func (p *pins) dump(now time.Duration) []*trunk.Pin {
+	var out []*trunk.Pin
+	for k, x := range p.by {
+		if now-x.at <= p.idle {
+			out = append(out, &trunk.Pin{Key: k.key, Service: k.service, Endpoint: x.endpoint, Config: x.config, Moves: x.moves, AgeMs: ms(now - x.at)})
+		}
+	}
+	slices.SortFunc(out, func(a, b *trunk.Pin) int {
+		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Service, b.Service))
+	})
+	return out
+}
+
+// Pinned is what a question about a session came to.
+type Pinned struct {
+	Service  string
+	Endpoint string
+	Moved    bool
+	Full     bool
+}
+
+// Pin gives the instance of a session: the one it has in a service that its
+// binding may use, or the one wanted, if it has none or is to leave the one
+// that the asker found it at.
+func (t *Table) Pin(q *trunk.PinReq, now time.Duration) (*trunk.Change, Pinned) {
+	p := &t.pins
+	last := time.Duration(-1 << 62)
+	var at pinKey
+	var cur pin
+	found := false
+	for _, s := range q.Allowed {
+		k := pinKey{q.Key, s}
+		if x, ok := p.by[k]; ok && now-x.at <= p.idle && x.at > last {
+			at, cur, found, last = k, x, true, x.at
+		}
+	}
+	if found && (q.From == "" || cur.endpoint != q.From) {
+		if now-cur.at > p.idle/4 {
+			return &trunk.Change{Pin: &trunk.Pin{Key: at.key, Service: at.service, Endpoint: cur.endpoint, Config: cur.config, Moves: cur.moves}}, Pinned{Service: at.service, Endpoint: cur.endpoint}
+		}
+		return nil, Pinned{Service: at.service, Endpoint: cur.endpoint}
+	}
+	if q.Want == "" {
+		return nil, Pinned{}
+	}
+	if !found && len(p.by) >= p.most {
+		p.sweep(now)
+		if len(p.by) >= p.most {
+			return nil, Pinned{Full: true}
+		}
+	}
+	c := &trunk.Pin{Key: q.Key, Service: q.Service, Endpoint: q.Want, Why: q.Why, Config: q.Config}
+	if found {
+		c.From, c.Moves = cur.endpoint, cur.moves+1
+	}
+	return &trunk.Change{Pin: c}, Pinned{Service: q.Service, Endpoint: q.Want, Moved: found}
+}
+
+func (t *Table) Pins() int { return len(t.pins.by) }
+
+func (s *Service) Pin(ctx context.Context, q *trunk.PinReq) (Pinned, error) {
+	return Run(ctx, s, s.Shard("pin "+q.Key), func(t *Table, now time.Duration) (*trunk.Change, Pinned) { return t.Pin(q, now) })
+}
--- a/internal/numbering/table.go
+++ b/internal/numbering/table.go
@@ -39,10 +39,11 @@
 	given  map[string]uint64
 	groups map[string]*group
 	blobs  map[string]*trunk.Blob
+	pins   pins
 }
 
 func NewTable(history time.Duration) *Table {
-	t := &Table{keep: history*3/2 + 5*time.Second}
+	t := &Table{keep: history*3/2 + 5*time.Second, pins: pins{idle: 10 * time.Minute, most: 8192}}
 	t.clear()
 	return t
 }
@@ -54,6 +55,7 @@
 	t.given = map[string]uint64{}
 	t.groups = map[string]*group{}
 	t.blobs = map[string]*trunk.Blob{}
+	t.pins.by = map[pinKey]pin{}
 }
 
 func GroupOf(key string) string {
@@ -99,6 +101,9 @@
 	if b := c.GetBlob(); b != nil {
 		t.blobs[b.Name] = b
 	}
+	if p := c.GetPin(); p != nil {
+		t.pins.apply(p, now)
+	}
 }
 
 func (t *Table) prune(g *group, now time.Duration) {
@@ -141,6 +146,7 @@
 	for _, b := range t.blobs {
 		s.Blobs = append(s.Blobs, b)
 	}
+	s.Pins = t.pins.dump(now)
 	sort.Slice(s.Locks, func(i, j int) bool { return s.Locks[i].Name < s.Locks[j].Name })
 	sort.Slice(s.Numbers, func(i, j int) bool { return s.Numbers[i].Name < s.Numbers[j].Name })
 	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Name < s.Groups[j].Name })
@@ -180,6 +186,9 @@
 	for _, b := range s.Blobs {
 		t.blobs[b.Name] = b
 	}
+	for _, p := range s.Pins {
+		t.pins.put(p, now-age(p.AgeMs))
+	}
 }
 
 func (t *Table) Blob(n string) *trunk.Blob { return t.blobs[n] }
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -113,7 +113,21 @@
 	Bounds      Bounds    `toml:"boundSet"`
 }
 
+// Pins bounds the sessions that are kept at one endpoint.
+type Pins struct {
+	IdleS float64 `toml:"idleS"`
+	Most  int     `toml:"most"`
+}
+
+// Record bounds what a node remembers of the requests it carried.
+type Record struct {
+	Requests int     `toml:"requests"`
+	SpanS    float64 `toml:"spanS"`
+}
+
 type Options struct {
+	Pins     Pins     `toml:"pinSet"`
+	Record   Record   `toml:"recordSet"`
 	Self     Self     `toml:"self"`
 	Network  Network  `toml:"network"`
 	Platform Platform `toml:"hostPlatform"`
@@ -142,6 +156,8 @@
 
 func Parse(b []byte, role string) (Options, error) {
 	o := Options{
+		Pins:     Pins{IdleS: 600, Most: 100000},
+		Record:   Record{Requests: 4096, SpanS: 120},
 		Platform: Platform{BeatS: 1.5, Discovery: FromBeats, Entry: ByMachine, Cloud: CloudAPI{RatePerS: 10, MaxLagS: 1}},
 		Terms: Terms{Bounds: Bounds{
 			SeedLagS: 3, ReuseAfterS: 2, ContactS: 3, AckS: 4, CatchUpS: 4, DrainS: 2, GraceS: 6,
@@ -241,6 +257,12 @@
 		bad = append(bad, "self.limitSet.memoryMb: "+strconv.FormatInt(m, 10)+" must be 16 at least")
 	}
 	pos("hostPlatform.beatS", o.Platform.BeatS)
+	pos("pinSet.idleS", o.Pins.IdleS)
+	pos("pinSet.most", float64(o.Pins.Most))
+	pos("recordSet.spanS", o.Record.SpanS)
+	if o.Record.Requests < 0 {
+		bad = append(bad, fmt.Sprintf("recordSet.requests: %d must not be below 0 (0 keeps no record)", o.Record.Requests))
+	}
 	b := o.Terms.Bounds
 	pos("termTable.boundSet.graceS", b.GraceS)
 	pos("termTable.boundSet.drainS", b.DrainS)
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -220,10 +220,11 @@
 	return a.last
 }
 
-func (a *Agent) Master() string {
+// Config is the stamp of the configuration in force here.
+func (a *Agent) Config() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.view.GetMaster()
+	return a.conf
 }
 
 func (a *Agent) View() *trunk.View {
@@ -232,7 +233,8 @@
 	return a.view
 }
 
-func (a *Agent) cores() []string {
+// Cores are the addresses at which this node would look for the core.
+func (a *Agent) Cores() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	seen := map[string]bool{}
@@ -283,7 +285,7 @@
 	a.mu.Lock()
 	n := a.node
 	a.mu.Unlock()
-	known := a.cores()
+	known := a.Cores()
 	found := make(chan struct{}, 1)
 	var wg sync.WaitGroup
 	var ask func(addr string, deep int)
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -34,7 +34,29 @@
 
 func (t *trip) dispatch() bool {
 	t.b.o.Budget.Earn(t.to)
-	t.course = NewCourse(t.b.o.Pools, t.b.o.Budget, t.route, t.to, t.heavy())
+	for n := 0; ; n++ {
+		t.course = NewCourse(t.b.o.Pools, t.b.o.Budget, t.route, t.to, t.heavy())
+		t.course.only = t.only
+		o, done := t.run()
+		if done {
+			return true
+		}
+		// The session's instance is leaving and has not run this request.
+		if t.only == "" || t.course.mayRun || t.started || n >= moveTries || o != refused {
+			return t.give(o)
+		}
+		if ok, _ := t.b.o.Pools.Sits(t.to, t.only); ok {
+			return t.give(o)
+		}
+		if t.seat() {
+			return true
+		}
+	}
+}
+
+// run follows the course to an answer, or to the outcome that it is given up
+// with.
+func (t *trip) run() (o outcome, done bool) {
 	c := &t.course
 	for time.Now().Before(t.due) && t.ctx.Err() == nil {
 		r, m := c.next()
@@ -49,16 +71,16 @@
 		}
 		y := t.race(r)
 		if y.res == answered {
-			return t.relay(y)
+			return 0, t.relay(y)
 		}
 		if y.res == quit {
-			return true
+			return 0, true
 		}
-		if o, done := c.got(y.r, y.res, t.started); done {
-			return t.give(o)
+		if o, end := c.got(y.r, y.res, t.started); end {
+			return o, false
 		}
 	}
-	return t.give(refused)
+	return refused, false
 }
 
 // patience is how long an endpoint may be silent before it counts as ill.
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"corkcove/internal/cord"
 	"corkcove/internal/dialplan"
 )
 
@@ -56,6 +57,7 @@
 	Line    http.RoundTripper
 	App     *AppLine
 	Budget  *Budget
+	Cords   *cord.Cords
 	Ready   func() bool
 	Note    func(f string, a ...any)
 	Peek    int
@@ -69,6 +71,7 @@
 	Tally   [10]atomic.Int64
 	longest longest
 	Flows   *Flows
+	pasts   pasts
 }
 
 // longest keeps the longest wait seen on each binding: a request with less
@@ -137,6 +140,9 @@
 
 	fresh  bool
 	course Course
+	pinned string
+	only   string
+	wait   time.Duration
 }
 
 func (t *trip) later(f func()) { t.clean = append(t.clean, f) }
@@ -148,7 +154,7 @@
 	h["Date"] = nil
 	h["Content-Type"] = []string{"text/plain"}
 	if x.again > 0 {
-		d := max(x.again, min(t.course.again, time.Second))
+		d := max(x.again, t.wait, min(t.course.again, time.Second))
 		d += time.Duration(rand.Int64N(int64(d)))
 		h.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
 	}
@@ -172,7 +178,7 @@
 			t.clean[i]()
 		}
 	}()
-	for _, f := range []func() bool{t.check, t.find, t.judge, t.limit, t.read, t.dispatch} {
+	for _, f := range []func() bool{t.check, t.find, t.judge, t.limit, t.read, t.plug, t.dispatch} {
 		if f() {
 			return
 		}
--- /dev/null
+++ b/internal/switchboard/plug.go
@@ -0,0 +1,124 @@
+package switchboard
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"corkcove/internal/cord"
+	"corkcove/internal/dialplan"
+)
+
+// pasts remembers the services that each place was led to by the versions seen
+// here, to tell a session that a version moved from a new one.
+type pasts struct {
+	mu sync.Mutex
+	m  map[string][]string
+}
+
+func (p *pasts) of(r *dialplan.Route, allowed []string) []string {
+	k := r.Host + r.Prefix
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.m == nil {
+		p.m = map[string][]string{}
+	}
+	was := p.m[k]
+	for _, s := range allowed {
+		if !slices.Contains(was, s) {
+			was = append(slices.Clone(was), s)
+		}
+	}
+	p.m[k] = was
+	return was
+}
+
+// Sits and Free tell the cords of this node's view.
+func (p *Pools) Sits(service, id string) (bool, string) {
+	y := p.cur.Load().by[service]
+	if y == nil {
+		return false, cord.ByEnd
+	}
+	for _, r := range y.all {
+		if r.id != id {
+			continue
+		}
+		if r.up && !r.drained.Load() {
+			return true, ""
+		}
+		return false, cord.ByDrain
+	}
+	return false, cord.ByEnd
+}
+
+func (p *Pools) Free(service string) []string {
+	y := p.cur.Load().by[service]
+	if y == nil {
+		return nil
+	}
+	good := make([]string, 0, len(y.all))
+	for _, r := range y.all {
+		if r.up && !r.grey && !r.drained.Load() {
+			good = append(good, r.id)
+		}
+	}
+	if len(good) == 0 {
+		for _, r := range y.all {
+			if r.up && !r.drained.Load() {
+				good = append(good, r.id)
+			}
+		}
+	}
+	return good
+}
+
+func (t *trip) session() string {
+	k := t.route.Pin
+	if k.Name == "" || t.b.o.Cords == nil {
+		return ""
+	}
+	v := ""
+	if k.Cookie {
+		if c, err := t.r.Cookie(k.Name); err == nil {
+			v = c.Value
+		}
+	} else {
+		v = t.r.Header.Get(k.Name)
+	}
+	if v == "" {
+		return ""
+	}
+	return cord.Key(k.String(), v)
+}
+
+// plug leads a session's request to the instance that knows the session.
+func (t *trip) plug() bool {
+	if t.pinned = t.session(); t.pinned == "" {
+		return false
+	}
+	return t.seat()
+}
+
+// moveTries is how often one request may find its session moved.
+const moveTries = 3
+
+func (t *trip) seat() bool {
+	allowed := t.plan.Allowed(t.route)
+	service := t.to
+	if i, ok := t.route.Pick(cord.Draw(t.pinned)); ok {
+		service = t.plan.Services[i].Name
+	}
+	q := cord.Ask{Key: t.pinned, Allowed: allowed, Service: service, Before: t.b.pasts.of(t.route, allowed)}
+	for {
+		p := t.b.o.Cords.Find(t.ctx, q, t.b.o.Pools)
+		if p.State != cord.Hold {
+			t.to, t.only, t.wait = p.Service, p.Endpoint, 0
+			return false
+		}
+		t.wait = p.Wait
+		end := t.t0.Add(max(t.route.Target/2, 100*time.Millisecond))
+		if time.Now().Add(p.Wait).After(end) || !t.pause(max(p.Wait, 5*time.Millisecond)) {
+			return t.give(refused)
+		}
+	}
+}
