--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -40,11 +40,29 @@
 	cores := app.Flag("core", "Inner address of a core node, for the tools; may be repeated. Default: the seeds in the settings file.").Strings()
 	asJSON := app.Flag("json", "Tools print JSON.").Bool()
 	status := app.Command("status", "Show the core, the view, and each node's state and why.")
-	tr := app.Command("trace", "Follow one change through all nodes: r12, view:9 or key:group.name.")
+	tr := app.Command("trace", "Follow one change through all nodes: r12, view:9, key:group.name or pin:SESSION.")
 	trWhat := tr.Arg("change", "The change.").Required().String()
 	st := app.Command("state", "User states of nodes.").Command("set", "Cap a node's state; kept over restarts and takeovers.")
 	stNode := st.Arg("node", "The node's name.").Required().String()
 	stState := st.Arg("state", "up, maintenance, retired or down.").Required().String()
+	sess := app.Command("sessions", "Show open sessions, which instance each is pinned to, and which moved and why.")
+	sessSince := sess.Flag("since", "Only moves under this configuration or later, such as r12.").String()
+	rp := app.Command("replay", "Play carried traffic again under other rules before they are pushed.")
+	rps := rp.Command("save", "Take what all nodes remember into a file.")
+	rpsFile := rps.Arg("file", "The file.").Required().String()
+	rpsSpan := rps.Flag("span", "How far back.").Default("60s").Duration()
+	rpr := rp.Command("run", "Play a saved file under the old rules and under the new; exit code 1 if requests would be doubled, vanish or stall.")
+	var ro replayOpts
+	rpr.Arg("file", "A file of replay save.").Required().StringVar(&ro.file)
+	rpr.Flag("config", "The new configuration, whole, as JSON.").StringVar(&ro.config)
+	rpr.Flag("options", "A settings file with the new termTable.boundSet.retryRatio, retrySlack and retryWindowS.").StringVar(&ro.opts)
+	rpr.Flag("seed", "Where chance begins.").Default("1").Uint64Var(&ro.seed)
+	rpr.Flag("most", "How many requests and moves are listed.").Default("40").IntVar(&ro.most)
+	rpr.Flag("off", "Share of the record that the old rules may fail to give back.").Default("0.02").Float64Var(&ro.off)
+	rpr.Flag("binding", "List only this binding.").StringVar(&ro.filter.Binding)
+	rpr.Flag("kind", "List only this kind.").EnumVar(&ro.filter.Kind, "", "pure", "effectful", "upload", "download")
+	rpr.Flag("node", "List only requests that began at this node.").StringVar(&ro.filter.Node)
+	rpr.Flag("verdict", "List only this verdict.").StringVar(&ro.filter.Verdict)
 	est := app.Command("estimate", "Tell which requests would go to another endpoint before one is added or retired.")
 	ret := est.Command("retire", "Estimate the retirement of a node or endpoint.")
 	retWho := ret.Arg("node", "The node's name or the endpoint's id.").Required().String()
@@ -74,6 +92,12 @@
 		fmt.Println("ok")
 	case ver.FullCommand():
 		fmt.Println("corkcove", version, runtime.Version())
+	case rpr.FullCommand():
+		ro.json = *asJSON
+		if err := runReplay(ro); err != nil {
+			fmt.Fprintln(os.Stderr, "corkcove: "+err.Error())
+			os.Exit(1)
+		}
 	default:
 		t, err := newTool(*file, *cores, *asJSON)
 		if err == nil {
@@ -84,6 +108,10 @@
 				err = t.trace(*trWhat)
 			case st.FullCommand():
 				err = t.setState(*stNode, *stState)
+			case rps.FullCommand():
+				err = t.saveReplay(*rpsFile, *rpsSpan)
+			case sess.FullCommand():
+				err = t.sessions(*sessSince)
 			case ret.FullCommand():
 				err = t.estimate(erlang.Change{Retire: *retWho}, *retSave)
 			case add.FullCommand():
--- /dev/null
+++ b/cmd/corkcove/sessions.go
@@ -0,0 +1,230 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"corkcove/internal/dialplan"
+	"corkcove/internal/supervisor"
+	"corkcove/internal/trunk"
+)
+
+type sessionLine struct {
+	Key      string   `json:"key"`
+	Service  string   `json:"service"`
+	Endpoint string   `json:"endpoint"`
+	Pinned   bool     `json:"pinned"`
+	Since    string   `json:"since"`
+	Config   string   `json:"configuration"`
+	Nodes    []string `json:"nodes"`
+}
+
+type moveLine struct {
+	Key    string   `json:"key"`
+	From   string   `json:"from"`
+	To     string   `json:"to"`
+	Why    string   `json:"why"`
+	Config string   `json:"configuration"`
+	First  string   `json:"first"`
+	Nodes  []string `json:"nodes"`
+	at     int64
+}
+
+// sessionSheet joins what all nodes know of sessions.
+type sessionSheet struct {
+	Open     int           `json:"open"`
+	Kept     int           `json:"kept"`
+	Moved    int           `json:"moved"`
+	Loose    int           `json:"notYetPinned"`
+	Split    int           `json:"atTwoInstances"`
+	Dropped  uint64        `json:"forgotten"`
+	Sessions []sessionLine `json:"sessions"`
+	Moves    []moveLine    `json:"moves"`
+	Silent   []string      `json:"didNotAnswer"`
+}
+
+func joinSessions(rs []*trunk.SessionsResp, silent []string) sessionSheet {
+	type at struct{ key, service string }
+	type seat struct {
+		at
+		endpoint string
+	}
+	sheet := sessionSheet{Silent: silent, Sessions: []sessionLine{}, Moves: []moveLine{}}
+	lines := map[seat]*sessionLine{}
+	latest := map[at]*trunk.Session{}
+	type hop struct{ key, from, to, why string }
+	hops := map[hop]*moveLine{}
+	movedTo := map[at]map[string]bool{}
+	for _, r := range rs {
+		sheet.Dropped += r.Dropped
+		for _, m := range r.Moves {
+			h := hop{m.Key, m.Service + " " + m.From, m.ToService + " " + m.To, m.Why}
+			l := hops[h]
+			if l == nil {
+				l = &moveLine{Key: m.Key, From: h.from, To: h.to, Why: m.Why, Config: dialplan.FormatStamp(m.Config), at: m.AtUs}
+				hops[h] = l
+			}
+			l.at = min(l.at, m.AtUs)
+			l.Nodes = append(l.Nodes, r.Node+" "+clock(m.AtUs))
+			k := at{m.Key, m.Service}
+			if movedTo[k] == nil {
+				movedTo[k] = map[string]bool{}
+			}
+			movedTo[k][m.From] = true
+		}
+		for _, s := range r.Sessions {
+			k := at{s.Key, s.Service}
+			if o := latest[k]; o == nil || s.UsedUs > o.UsedUs {
+				latest[k] = s
+			}
+		}
+	}
+	moved := map[string]bool{}
+	for _, l := range hops {
+		l.First = clock(l.at)
+		slices.Sort(l.Nodes)
+		sheet.Moves = append(sheet.Moves, *l)
+		moved[l.Key] = true
+	}
+	slices.SortFunc(sheet.Moves, func(a, b moveLine) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.Key, b.Key)) })
+	for _, r := range rs {
+		for _, s := range r.Sessions {
+			k := at{s.Key, s.Service}
+			if movedTo[k][s.Endpoint] && latest[k].Endpoint != s.Endpoint {
+				continue
+			}
+			p := seat{k, s.Endpoint}
+			l := lines[p]
+			if l == nil {
+				l = &sessionLine{Key: s.Key, Service: s.Service, Endpoint: s.Endpoint, Config: dialplan.FormatStamp(s.Config), Since: clock(s.SinceUs)}
+				lines[p] = l
+			}
+			l.Pinned = l.Pinned || s.Pinned
+			l.Nodes = append(l.Nodes, r.Node)
+		}
+	}
+	n := map[at]int{}
+	for p, l := range lines {
+		slices.Sort(l.Nodes)
+		sheet.Sessions = append(sheet.Sessions, *l)
+		n[p.at]++
+		if !l.Pinned {
+			sheet.Loose++
+		}
+	}
+	for k, x := range n {
+		sheet.Open++
+		if x > 1 {
+			sheet.Split++
+		}
+		if !moved[k.key] {
+			sheet.Kept++
+		}
+	}
+	sheet.Moved = len(moved)
+	slices.SortFunc(sheet.Sessions, func(a, b sessionLine) int {
+		return cmp.Or(cmp.Compare(a.Key, b.Key), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return sheet
+}
+
+func clock(us int64) string { return time.UnixMicro(us).UTC().Format("15:04:05.000") }
+
+func (s sessionSheet) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d open, %d kept, %d moved, %d not yet pinned, %d seen at two instances\n", s.Open, s.Kept, s.Moved, s.Loose, s.Split)
+	if len(s.Moves) > 0 {
+		fmt.Fprintf(&b, "\n%-24s %-30s %-30s %-8s %-6s %s\n", "session", "from", "to", "why", "under", "node and time")
+		for _, m := range s.Moves {
+			fmt.Fprintf(&b, "%-24s %-30s %-30s %-8s %-6s %s\n", m.Key, m.From, m.To, m.Why, m.Config, strings.Join(m.Nodes, ", "))
+		}
+	}
+	if len(s.Sessions) > 0 {
+		fmt.Fprintf(&b, "\n%-24s %-16s %-16s %-12s %-6s %-12s %s\n", "session", "service", "endpoint", "state", "under", "since", "nodes")
+		for _, l := range s.Sessions {
+			st := "pinned"
+			if !l.Pinned {
+				st = "not pinned"
+			}
+			fmt.Fprintf(&b, "%-24s %-16s %-16s %-12s %-6s %-12s %s\n", l.Key, l.Service, l.Endpoint, st, l.Config, l.Since, strings.Join(l.Nodes, ", "))
+		}
+	}
+	if s.Dropped > 0 {
+		fmt.Fprintf(&b, "\n%d sessions or moves were forgotten: the nodes' bounds are full\n", s.Dropped)
+	}
+	for _, n := range s.Silent {
+		fmt.Fprintf(&b, "%s did not answer\n", n)
+	}
+	return b.String()
+}
+
+// each calls all nodes that the master knows, and names those that are silent.
+func each[R any](ss []*trunk.StatusResp, call func(addr string) (R, error)) (out []R, silent []string) {
+	type got struct {
+		name string
+		r    R
+		err  error
+	}
+	var wg sync.WaitGroup
+	var nodes []*trunk.NodeLine
+	for _, n := range ss[0].Nodes {
+		if n.Addr != "" {
+			nodes = append(nodes, n)
+		}
+	}
+	gs := make([]got, len(nodes))
+	sem := make(chan bool, 16)
+	for i, n := range nodes {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			sem <- true
+			defer func() { <-sem }()
+			r, err := call(n.Addr)
+			gs[i] = got{n.Name, r, err}
+		}()
+	}
+	wg.Wait()
+	for _, g := range gs {
+		if g.err != nil {
+			silent = append(silent, g.name)
+			continue
+		}
+		out = append(out, g.r)
+	}
+	return out, silent
+}
+
+func (t *tool) sessions(since string) error {
+	var from uint64
+	if since != "" {
+		n, err := dialplan.ParseStamp(since)
+		if err != nil {
+			return err
+		}
+		from = n
+	}
+	ss, err := t.status()
+	if err != nil {
+		return err
+	}
+	if !ss[0].Master {
+		return supervisor.Error.New("there is no master now, so the nodes are not known")
+	}
+	rs, silent := each(ss, func(addr string) (*trunk.SessionsResp, error) {
+		return trunk.Call(toolWait, t.lines.Tracer(addr).Sessions, &trunk.SessionsReq{Since: from})
+	})
+	s := joinSessions(rs, silent)
+	t.print(s, s.String())
+	switch {
+	case s.Split > 0:
+		return fmt.Errorf("%d sessions were seen at two instances", s.Split)
+	case len(silent) > 0:
+		return fmt.Errorf("%d nodes did not answer", len(silent))
+	}
+	return nil
+}
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -16,6 +16,7 @@
 	"corkcove/internal/subscriber"
 	"corkcove/internal/supervisor"
 	"corkcove/internal/switchboard"
+	"corkcove/internal/ticket"
 	"corkcove/internal/trunk"
 )
 
@@ -92,7 +93,6 @@
 	var plan atomic.Pointer[dialplan.Table]
 	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 2400 * time.Millisecond,
 		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
-	ag.OnView = pools.Set
 	ag.Start(&trunk.NodeState{Name: o.Self.NodeName, Life: ag.Life, Addr: o.InnerAddr(), Inbound: o.Network.Listen.Inbound,
 		Site: o.Self.SiteName, Service: o.Self.ServiceName, State: "up"})
 	sub := subscriber.New(subscriber.Options{Service: o.Self.ServiceName, Beat: options.Secs(o.Platform.BeatS), Missed: 3, Queue: 1.5,
@@ -104,24 +104,29 @@
 		}})
 
 	app := trunk.Transport(300*time.Millisecond, 0, 4*time.Second, 64)
-	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: o.Self.AppAddr, Desk: sub,
+	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: o.Self.AppAddr, LinkMbps: o.Self.LimitSet.LinkMbps, Desk: sub,
 		Line: switchboard.NewAppLine(app, trunk.Transport(300*time.Millisecond, 0, time.Second, 1)), Note: p.note("inbound"),
 		Peek: 64 << 10})
 	between := trunk.Transport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
 	between.ExpectContinueTimeout = time.Second
 	cords := p.newCords(lines, ag)
+	tickets := p.newTickets()
+	ag.OnView = func(v *trunk.View) {
+		pools.Set(v)
+		tickets.View(v)
+	}
 	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
-		Budget: budget, Cords: cords, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: budget, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[2], out)
-	takeConfigs(ag, &plan, func(t *dialplan.Table) { fr.limit(t.Limits) })
+	takeConfigs(ag, &plan, tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 
 	go meet(o, ag, sub, &plan, app)
 	var leaving atomic.Bool
 	mux := http.NewServeMux()
 	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(ag))
 	far, heavy := pools.Weights()
-	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{process: p, flows: out.Flows, far: far, heavy: heavy, cords: cords, config: ag.Config}))
+	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{process: p, flows: out.Flows, far: far, heavy: heavy, cords: cords, config: ag.Config, tickets: tickets}))
 	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
 	go is.Serve(ls[0])
 	ins := &http.Server{Handler: in, IdleTimeout: 2 * time.Minute}
@@ -166,12 +171,13 @@
 
 // takeConfigs compiles what the master delivers; the agent calls it from one
 // goroutine at a time.
-func takeConfigs(ag *supervisor.Agent, plan *atomic.Pointer[dialplan.Table], then func(*dialplan.Table)) {
+func takeConfigs(ag *supervisor.Agent, plan *atomic.Pointer[dialplan.Table], tickets *ticket.Recorder, then func(*dialplan.Table)) {
 	var cur dialplan.Doc
 	use := func(d dialplan.Doc) {
 		t := dialplan.Compile(d)
 		cur = d
 		plan.Store(t)
+		tickets.Config(d.Stamp, d.Write)
 		then(t)
 	}
 	ag.OnConfig = func(_ uint64, data []byte) error {
--- /dev/null
+++ b/cmd/corkcove/tickets.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"corkcove/internal/options"
+	"corkcove/internal/ticket"
+	"corkcove/internal/trunk"
+)
+
+func (p *process) newTickets() *ticket.Recorder {
+	if p.o.Record.Requests == 0 {
+		return nil
+	}
+	return ticket.New(p.o.Record.Requests, options.Secs(p.o.Record.SpanS), time.Now)
+}
+
+func (t teller) Tickets(_ context.Context, q *trunk.TicketsReq) (*trunk.TicketsResp, error) {
+	r := t.tickets.Report(time.Duration(q.SpanUs)*time.Microsecond, q.From, q.Most)
+	s, b := t.o.Self, t.o.Terms.Bounds
+	r.Node, r.Site, r.Service, r.Role = s.NodeName, s.SiteName, s.ServiceName, t.role
+	r.Ratio, r.Slack, r.WindowS, r.Far, r.Heavy, r.Near = b.RetryRatio, b.RetrySlack, b.RetryWindowS, t.far, t.heavy, t.near
+	return r, nil
+}
+
+func (t teller) Parts(_ context.Context, q *trunk.PartsReq) (*trunk.PartsResp, error) {
+	return t.tickets.Parts(q), nil
+}
--- a/cmd/corkcove/tracing.go
+++ b/cmd/corkcove/tracing.go
@@ -8,6 +8,7 @@
 	"corkcove/internal/desk"
 	"corkcove/internal/exchange"
 	"corkcove/internal/switchboard"
+	"corkcove/internal/ticket"
 	"corkcove/internal/tracer"
 	"corkcove/internal/trunk"
 )
@@ -15,11 +16,13 @@
 // teller answers the tools' questions of one process.
 type teller struct {
 	*process
-	flows  *switchboard.Flows
-	far    float64
-	heavy  float64
-	cords  *cord.Cords
-	config func() uint64
+	flows   *switchboard.Flows
+	far     float64
+	heavy   float64
+	cords   *cord.Cords
+	config  func() uint64
+	tickets *ticket.Recorder
+	near    uint32
 }
 
 func (t teller) Trace(_ context.Context, q *trunk.TraceReq) (*trunk.TraceResp, error) {
--- a/internal/cord/cord.go
+++ b/internal/cord/cord.go
@@ -274,6 +274,9 @@
 	return Place{State: Hold, Wait: c.o.Settle}
 }
 
+// Known plugs a session in where it is known to be.
+func (c *Cords) Known(key, service, endpoint string) { c.set(spot{key, service}, endpoint, true) }
+
 func (c *Cords) drop(at spot) {
 	c.mu.Lock()
 	delete(c.plugs, at)
--- a/internal/dialplan/read.go
+++ b/internal/dialplan/read.go
@@ -32,6 +32,11 @@
 
 var kinds = map[string]Kind{"pure": Pure, "effectful": Effectful, "upload": Upload, "download": Download}
 
+func KindOf(s string) (Kind, bool) {
+	k, ok := kinds[s]
+	return k, ok
+}
+
 func (k Kind) Repeatable() bool { return k == Pure || k == Download }
 
 func (k Kind) String() string {
--- /dev/null
+++ b/internal/replay/verdict.go
@@ -0,0 +1,449 @@
+package replay
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"corkcove/internal/dialplan"
+	"corkcove/internal/switchboard"
+	"corkcove/internal/trunk"
+)
+
+// What would become of a request.
+const (
+	Doubled   = "doubled"
+	Vanished  = "vanished"
+	Stalled   = "stalled"
+	Elsewhere = "sent elsewhere"
+	Bounced   = "refused anew"
+	Misplaced = "not at the right place in time"
+	Moved     = "session moved"
+	Unasked   = "not asked: its parent does not run"
+)
+
+// grave verdicts make a change one that should not be pushed.
+var grave = map[string]bool{Doubled: true, Vanished: true, Stalled: true}
+
+// Line tells of one request that the new rules treat otherwise.
+type Line struct {
+	ID       string   `json:"request"`
+	Node     string   `json:"node"`
+	At       string   `json:"at"`
+	Host     string   `json:"host"`
+	Path     string   `json:"path"`
+	Parent   string   `json:"parent,omitempty"`
+	Session  string   `json:"session,omitempty"`
+	Verdicts []string `json:"verdicts"`
+	Basis    string   `json:"basis"`
+	Old      Fare     `json:"old"`
+	New      Fare     `json:"new"`
+	at       int64
+}
+
+type Sum struct {
+	Binding string         `json:"binding"`
+	Kind    string         `json:"kind"`
+	Node    string         `json:"node"`
+	Asked   int            `json:"requests"`
+	Counts  map[string]int `json:"verdicts"`
+}
+
+type SessionMove struct {
+	Session string `json:"session"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	Why     string `json:"why"`
+	Request string `json:"request"`
+	Node    string `json:"node"`
+}
+
+type Report struct {
+	Nodes      int            `json:"nodes"`
+	Requests   int            `json:"requests"`
+	SpanS      float64        `json:"spanS"`
+	Silent     []string       `json:"didNotAnswer"`
+	Dropped    uint64         `json:"dropped"`
+	Unfinished uint64         `json:"unfinished"`
+	NoView     int            `json:"withoutView"`
+	Control    float64        `json:"controlOff"`
+	Allowed    float64        `json:"controlAllowed"`
+	Fit        bool           `json:"fit"`
+	Counts     map[string]int `json:"verdicts"`
+	Sums       []Sum          `json:"sums"`
+	Lines      []Line         `json:"requestsChanged"`
+	Sessions   int            `json:"sessions"`
+	Moves      []SessionMove  `json:"sessionMoves"`
+	Joined     int            `json:"callsWithParent"`
+	FromModel  int            `json:"fromModel"`
+}
+
+type Filter struct{ Binding, Kind, Node, Verdict string }
+
+func (f Filter) fits(l Line) bool {
+	b := cmp.Or(l.Old.Binding, l.New.Binding)
+	k := cmp.Or(l.Old.Kind, l.New.Kind)
+	return (f.Binding == "" || f.Binding == b) && (f.Kind == "" || f.Kind == k) && (f.Node == "" || f.Node == l.Node) &&
+		(f.Verdict == "" || slices.Contains(l.Verdicts, f.Verdict))
+}
+
+func repeatable(k dialplan.Kind) bool { return k.Repeatable() }
+
+// faults judges one playing of a request. Whether it may run twice was decided
+// by the rules it was carried under, and is not changed by calling it pure.
+func faults(t *trunk.Ticket, f *Fare, once bool, aim time.Duration) map[string]bool {
+	out := map[string]bool{}
+	if f.quit {
+		return out
+	}
+	ran, unsure := 0, 0
+	at := map[string]bool{}
+	for _, r := range f.Runs {
+		if !r.may() {
+			continue
+		}
+		if r.fate == switchboard.Ran {
+			ran++
+		} else {
+			unsure++
+		}
+		at[r.Endpoint] = true
+	}
+	if once && ran+unsure > 1 {
+		out[Doubled] = true
+	}
+	good := f.Code >= 200 && f.Code < 500 && f.answered
+	if !good && ran == 0 && !switchboard.Promises(f.Code) && !(f.Code >= 400 && f.Code < 500) {
+		out[Vanished] = true
+	}
+	switch {
+	case f.answered && aim > 0 && f.took > aim, f.due > 0 && f.took >= f.due:
+		out[Stalled] = true
+	}
+	if !once && !(good && (aim == 0 || f.took <= aim)) {
+		out[Misplaced] = true
+	}
+	return out
+}
+
+// Play plays the record under the old rules and under the new ones, and tells
+// what differs.
+func Play(c *trunk.Carried, r Rules, allowed float64) (*Report, error) {
+	was, err := newWorld(c, Rules{Seed: r.Seed})
+	if err != nil {
+		return nil, err
+	}
+	was.seed()
+	was.play()
+	now, err := newWorld(c, r)
+	if err != nil {
+		return nil, err
+	}
+	now.seed()
+	now.play()
+	rep := &Report{Nodes: len(c.Nodes), SpanS: float64(c.SpanUs) / 1e6, Silent: append([]string{}, c.Silent...), Allowed: allowed, Counts: map[string]int{},
+		Lines: []Line{}, Sums: []Sum{}, Moves: []SessionMove{}}
+	nodes := nodesOf(c)
+	parents := join(c, nodes)
+	off := 0
+	type sumKey struct{ b, k, n string }
+	sums := map[sumKey]*Sum{}
+	sessions := map[string]bool{}
+	runsAt := func(w *world, p *trunk.Ticket, node string) bool {
+		if p == nil {
+			return true
+		}
+		f := w.fares[p]
+		for _, r := range f.Runs {
+			if r.may() && nodes[r.Endpoint] == node {
+				return true
+			}
+		}
+		return false
+	}
+	for _, n := range c.Nodes {
+		rep.Dropped += n.Dropped
+		rep.Unfinished += n.Unfinished
+		if len(n.Views) == 0 {
+			rep.NoView++
+		}
+		for _, t := range n.Tickets {
+			rep.Requests++
+			old, then := was.fares[t], now.fares[t]
+			if !same(t, old) {
+				off++
+			}
+			k, known := dialplan.KindOf(cmp.Or(t.Kind, old.Kind))
+			once := known && !repeatable(k) || !known && then.Binding != "" && !repeatable(then.kind)
+			aim := old.aim
+			if aim == 0 || then.aim > 0 && then.aim < aim {
+				aim = then.aim
+			}
+			a, b := faults(t, old, once, aim), faults(t, then, once, aim)
+			var vs []string
+			for v := range b {
+				if !a[v] {
+					vs = append(vs, v)
+				}
+			}
+			if len(then.Runs) > 0 && len(old.Runs) > 0 && then.Service != old.Service {
+				vs = append(vs, Elsewhere)
+			}
+			if then.Code >= 400 && then.Code < 600 && !then.answered && old.answered && !b[Vanished] {
+				vs = append(vs, Bounced)
+			}
+			if t.Session != "" {
+				sessions[t.Session+" "+old.Service] = true
+				if old.Seat != "" && then.Seat != "" && old.Seat != then.Seat {
+					vs = append(vs, Moved)
+				}
+			}
+			p := parents[t]
+			if p != nil {
+				rep.Joined++
+				if !runsAt(now, p, n.Node) && runsAt(was, p, n.Node) {
+					vs = []string{Unasked}
+				}
+			}
+			if then.Model {
+				rep.FromModel++
+			}
+			sk := sumKey{cmp.Or(old.Binding, then.Binding, "(none)"), cmp.Or(old.Kind, then.Kind), n.Node}
+			s := sums[sk]
+			if s == nil {
+				s = &Sum{Binding: sk.b, Kind: sk.k, Node: sk.n, Counts: map[string]int{}}
+				sums[sk] = s
+			}
+			s.Asked++
+			if len(vs) == 0 {
+				continue
+			}
+			slices.Sort(vs)
+			for _, v := range vs {
+				s.Counts[v]++
+				rep.Counts[v]++
+			}
+			l := Line{ID: t.Id, Node: n.Node, At: time.UnixMicro(t.AtUs).UTC().Format("15:04:05.000"), Host: t.Host, Path: pathOf(t.Target), Session: t.Session,
+				Verdicts: vs, Basis: "record", Old: *old, New: *then, at: t.AtUs}
+			if then.Model {
+				l.Basis = "model"
+			}
+			if p != nil {
+				l.Parent = p.Id
+			}
+			rep.Lines = append(rep.Lines, l)
+		}
+	}
+	for _, n := range now.nodes {
+		_, ms, _ := n.cords.Report(0)
+		for _, m := range ms {
+			rep.Moves = append(rep.Moves, SessionMove{Session: m.Key, From: m.Service + " " + m.From, To: m.ToService + " " + m.To, Why: m.Why, Node: n.r.Node})
+		}
+	}
+	slices.SortFunc(rep.Moves, func(a, b SessionMove) int {
+		return cmp.Or(cmp.Compare(a.Session, b.Session), cmp.Compare(a.Node, b.Node))
+	})
+	rep.Sessions = len(sessions)
+	rep.Control = float64(off) / float64(max(rep.Requests, 1))
+	rep.Fit = rep.Control <= allowed
+	for _, s := range sums {
+		rep.Sums = append(rep.Sums, *s)
+	}
+	sort.Slice(rep.Sums, func(i, j int) bool {
+		a, b := rep.Sums[i], rep.Sums[j]
+		return cmp.Or(cmp.Compare(a.Binding, b.Binding), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Node, b.Node)) < 0
+	})
+	sort.SliceStable(rep.Lines, func(i, j int) bool { return rep.Lines[i].at < rep.Lines[j].at })
+	return rep, nil
+}
+
+// seed plugs sessions in where the record has them first.
+func (w *world) seed() {
+	type at struct{ key, service string }
+	first := map[at]*trunk.Ticket{}
+	for _, n := range w.c.Nodes {
+		for _, t := range n.Tickets {
+			if t.Session == "" || len(t.Dispatches) == 0 {
+				continue
+			}
+			k := at{t.Session, t.Service}
+			if o := first[k]; o == nil || t.AtUs < o.AtUs {
+				first[k] = t
+			}
+		}
+	}
+	for k, t := range first {
+		p := &trunk.Pin{Key: k.key, Service: k.service, Endpoint: t.Dispatches[0].Endpoint, Config: t.Config}
+		w.pins.Apply(&trunk.Change{Pin: p}, time.Hour)
+		for _, n := range w.nodes {
+			n.cords.Known(p.Key, p.Service, p.Endpoint)
+		}
+	}
+}
+
+// same tells whether the playing under the old rules gave back what was
+// recorded.
+func same(t *trunk.Ticket, f *Fare) bool {
+	if f.quit {
+		return true
+	}
+	if t.Code == 0 && len(t.Dispatches) == 0 {
+		return true
+	}
+	if int(t.Code) != f.Code && !(t.Code == 0) {
+		return false
+	}
+	if len(t.Dispatches) != len(f.Runs) {
+		return false
+	}
+	seen := map[string]int{}
+	for _, d := range t.Dispatches {
+		seen[d.Endpoint+d.Fate]++
+	}
+	for _, r := range f.Runs {
+		seen[r.Endpoint+r.Fate]--
+	}
+	for _, n := range seen {
+		if n != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func nodesOf(c *trunk.Carried) map[string]string {
+	out := map[string]string{}
+	for _, v := range c.Views {
+		for _, e := range v.Endpoints {
+			out[e.Id] = e.Node
+		}
+	}
+	return out
+}
+
+// join finds the parent of each call that an endpoint made: the one request
+// that its endpoint was at work on then, and that ends with the same deadline.
+func join(c *trunk.Carried, nodeOf map[string]string) map[*trunk.Ticket]*trunk.Ticket {
+	type work struct {
+		t        *trunk.Ticket
+		from, to int64
+		due      int64
+	}
+	at := map[string][]work{}
+	for _, n := range c.Nodes {
+		for _, t := range n.Tickets {
+			for _, d := range t.Dispatches {
+				if x := nodeOf[d.Endpoint]; x != "" {
+					at[x] = append(at[x], work{t, t.AtUs + d.AtUs, t.AtUs + d.AtUs + d.TookUs, t.AtUs + t.DueUs})
+				}
+			}
+		}
+	}
+	const slack = int64(40 * time.Millisecond / time.Microsecond)
+	out := map[*trunk.Ticket]*trunk.Ticket{}
+	for _, n := range c.Nodes {
+		ws := at[n.Node]
+		for _, t := range n.Tickets {
+			var found *trunk.Ticket
+			many := false
+			for _, w := range ws {
+				if w.t == t || t.AtUs < w.from || t.AtUs > w.to || t.DeadlineUs == 0 {
+					continue
+				}
+				if d := t.AtUs + t.DeadlineUs - w.due; d < -slack || d > slack {
+					continue
+				}
+				many = many || found != nil && found != w.t
+				found = w.t
+			}
+			if found != nil && !many {
+				out[t] = found
+			}
+		}
+	}
+	return out
+}
+
+// Grave counts what the new rules would do that the old did not.
+func (r *Report) Grave() int {
+	n := 0
+	for v, k := range r.Counts {
+		if grave[v] {
+			n += k
+		}
+	}
+	return n
+}
+
+func (r *Report) Text(f Filter, most int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d requests at %d nodes in %.0f s; %d calls joined to their parents; %d followed the model at some point\n", r.Requests, r.Nodes, r.SpanS, r.Joined, r.FromModel)
+	if r.Dropped > 0 || r.Unfinished > 0 || r.NoView > 0 {
+		fmt.Fprintf(&b, "missing: %d dropped by full records, %d still under way, %d nodes without a view\n", r.Dropped, r.Unfinished, r.NoView)
+	}
+	for _, s := range r.Silent {
+		fmt.Fprintf(&b, "%s did not answer: its requests are missing\n", s)
+	}
+	fmt.Fprintf(&b, "control: the old rules give back all but %.2f%% of what was recorded (allowed: %.2f%%)\n", 100*r.Control, 100*r.Allowed)
+	if !r.Fit {
+		b.WriteString("UNFIT TO DECIDE ON: the playing does not give back what happened\n")
+	}
+	b.WriteString("\nunder the new rules, and not under the old:\n")
+	names := []string{Doubled, Vanished, Stalled, Elsewhere, Bounced, Misplaced, Moved, Unasked}
+	for _, v := range names {
+		fmt.Fprintf(&b, "%10d  %s\n", r.Counts[v], v)
+	}
+	fmt.Fprintf(&b, "\nsessions: %d open, %d moves\n", r.Sessions, len(r.Moves))
+	for i, m := range r.Moves {
+		if i == most {
+			fmt.Fprintf(&b, "  and %d more\n", len(r.Moves)-i)
+			break
+		}
+		fmt.Fprintf(&b, "  %s from %s to %s: %s, at %s\n", m.Session, m.From, m.To, m.Why, m.Node)
+	}
+	fmt.Fprintf(&b, "\n%-20s %-10s %-26s %9s  %s\n", "binding", "kind", "node", "requests", "changed")
+	for _, s := range r.Sums {
+		if len(s.Counts) == 0 || f.Binding != "" && f.Binding != s.Binding || f.Kind != "" && f.Kind != s.Kind || f.Node != "" && f.Node != s.Node {
+			continue
+		}
+		var cs []string
+		for _, v := range names {
+			if s.Counts[v] > 0 {
+				cs = append(cs, fmt.Sprintf("%d %s", s.Counts[v], v))
+			}
+		}
+		fmt.Fprintf(&b, "%-20s %-10s %-26s %9d  %s\n", s.Binding, s.Kind, s.Node, s.Asked, strings.Join(cs, ", "))
+	}
+	n := 0
+	for _, l := range r.Lines {
+		if !f.fits(l) {
+			continue
+		}
+		if n++; n == 1 {
+			fmt.Fprintf(&b, "\n%-12s %-18s %-26s %-16s %-10s %-8s %s\n", "at", "request", "node", "binding", "kind", "basis", "what")
+		}
+		if n > most {
+			continue
+		}
+		fmt.Fprintf(&b, "%-12s %-18s %-26s %-16s %-10s %-8s %s: %s -> %s\n", l.At, l.ID, l.Node, cmp.Or(l.Old.Binding, l.New.Binding), cmp.Or(l.Old.Kind, l.New.Kind), l.Basis,
+			strings.Join(l.Verdicts, ", "), l.Old.text(), l.New.text())
+	}
+	if n > most {
+		fmt.Fprintf(&b, "and %d more; --most shows them\n", n-most)
+	}
+	return b.String()
+}
+
+func (f Fare) text() string {
+	var rs []string
+	for _, r := range f.Runs {
+		rs = append(rs, r.Endpoint+" "+r.Fate)
+	}
+	if len(rs) == 0 {
+		rs = []string{"nowhere"}
+	}
+	return fmt.Sprintf("%d in %d ms (%s)", f.Code, f.TookMs, strings.Join(rs, ", "))
+}
--- /dev/null
+++ b/internal/replay/world.go
@@ -0,0 +1,622 @@
+package replay
+
+import (
+	"cmp"
+	"container/heap"
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"corkcove/internal/cord"
+	"corkcove/internal/dialplan"
+	"corkcove/internal/numbering"
+	"corkcove/internal/switchboard"
+	"corkcove/internal/trunk"
+)
+
+// Rules are what a playing goes by: nil parts are taken from the record.
+type Rules struct {
+	Plan    *dialplan.Doc
+	Retries *Retries
+	Seed    uint64
+}
+
+// Retries are the settings of the retry budget.
+type Retries struct {
+	Ratio, Slack float64
+	Window       time.Duration
+}
+
+// Run is one arrival of a request at an endpoint, or a try at one.
+type Run struct {
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
+	Fate     string `json:"fate"`
+	AtMs     int64  `json:"atMs"`
+	TookMs   int64  `json:"tookMs"`
+	Model    bool   `json:"fromModel,omitempty"`
+	fate     switchboard.Fate
+	code     int
+}
+
+// may tells that the request has run there, or may have.
+func (r Run) may() bool {
+	return r.fate == switchboard.Ran || r.fate == switchboard.Unsure || r.fate == switchboard.Late || r.fate == switchboard.Quit
+}
+
+// Fare is what became of one request in one playing.
+type Fare struct {
+	Binding  string `json:"binding"`
+	Kind     string `json:"kind"`
+	Service  string `json:"service"`
+	Code     int    `json:"code"`
+	TookMs   int64  `json:"tookMs"`
+	Runs     []Run  `json:"dispatches"`
+	Model    bool   `json:"fromModel"`
+	Seat     string `json:"-"`
+	SeatWhy  string `json:"-"`
+	kind     dialplan.Kind
+	aim      time.Duration
+	due      time.Duration
+	took     time.Duration
+	quit     bool
+	answered bool
+}
+
+type node struct {
+	r       *trunk.TicketsResp
+	pools   *switchboard.Pools
+	budget  *switchboard.Budget
+	cords   *cord.Cords
+	plan    *dialplan.Table
+	tickets []*trunk.Ticket
+}
+
+// place is the model of one endpoint.
+type place struct {
+	slots  int
+	run    int
+	wait   []func()
+	speed  float64
+	marks  []mark
+	direct bool
+}
+
+// mark is one recorded fate at an endpoint.
+type mark struct {
+	at   int64
+	fate switchboard.Fate
+	code int
+	took int64
+}
+
+type event struct {
+	at  int64
+	seq int
+	f   func()
+}
+
+type agenda []event
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)   { *a = append(*a, x.(event)) }
+func (a *agenda) Pop() any {
+	o := *a
+	x := o[len(o)-1]
+	*a = o[:len(o)-1]
+	return x
+}
+
+// world plays in virtual time; one seed gives one course of events.
+type world struct {
+	c      *trunk.Carried
+	rules  Rules
+	now    int64
+	seq    int
+	ag     agenda
+	nodes  []*node
+	places map[string]*place
+	usual  map[string]time.Duration
+	work   map[string]time.Duration
+	pins   *numbering.Table
+	fares  map[*trunk.Ticket]*Fare
+	rng    *rand.Rand
+	speeds map[string]float64
+}
+
+func (w *world) at(t int64, f func()) {
+	w.seq++
+	heap.Push(&w.ag, event{max(t, w.now), w.seq, f})
+}
+
+func key(id, binding string) string { return id + "\x00" + binding }
+
+// newWorld learns from the record how fast endpoints answer and when they
+// failed.
+func newWorld(c *trunk.Carried, r Rules) (*world, error) {
+	w := &world{c: c, rules: r, places: map[string]*place{}, usual: map[string]time.Duration{}, work: map[string]time.Duration{}, pins: numbering.NewTable(time.Minute),
+		fares: map[*trunk.Ticket]*Fare{}, rng: rand.New(rand.NewPCG(r.Seed, 7)), speeds: map[string]float64{}}
+	type sum struct {
+		n int
+		d time.Duration
+	}
+	by, at := map[string]sum{}, map[string]sum{}
+	first := int64(1 << 62)
+	for _, n := range c.Nodes {
+		for _, t := range n.Tickets {
+			first = min(first, t.AtUs)
+			for _, d := range t.Dispatches {
+				f, ok := switchboard.FateOf(d.Fate)
+				if !ok {
+					return nil, Error.New("ticket %s names a fate %q that is not known", t.Id, d.Fate)
+				}
+				p := w.place(d.Endpoint)
+				p.direct = p.direct || d.Node == ""
+				p.marks = append(p.marks, mark{t.AtUs + d.AtUs, f, int(d.Code), d.TookUs})
+				if f == switchboard.Ran && d.Code < 500 {
+					x := time.Duration(d.TookUs) * time.Microsecond
+					s := by[t.Binding]
+					by[t.Binding] = sum{s.n + 1, s.d + x}
+					s = at[key(d.Endpoint, t.Binding)]
+					at[key(d.Endpoint, t.Binding)] = sum{s.n + 1, s.d + x}
+				}
+			}
+		}
+	}
+	for b, s := range by {
+		w.usual[b] = s.d / time.Duration(s.n)
+	}
+	type ratio struct{ x, n float64 }
+	rs := map[string]ratio{}
+	for k, s := range at {
+		id, b, _ := strings.Cut(k, "\x00")
+		r := rs[id]
+		rs[id] = ratio{r.x + float64(s.d)/float64(max(w.usual[b], 1)), r.n + float64(s.n)}
+	}
+	for id, r := range rs {
+		w.places[id].speed = max(r.x/r.n, 0.05)
+	}
+	for _, p := range w.places {
+		slices.SortFunc(p.marks, func(a, b mark) int { return cmp.Compare(a.at, b.at) })
+	}
+	views := map[[2]uint64]*trunk.View{}
+	for _, v := range c.Views {
+		views[[2]uint64{v.Epoch, v.Stamp}] = v
+		for _, e := range v.Endpoints {
+			w.place(e.Id).slots = max(int(e.Slots), 1)
+			w.place(e.Id).direct = e.Inbound == ""
+		}
+	}
+	docs := map[uint64]*dialplan.Table{}
+	for _, d := range c.Configs {
+		b, err := trunk.Unpack(d.Packed)
+		if err != nil {
+			return nil, err
+		}
+		x, err := dialplan.Read(b)
+		if err != nil {
+			return nil, err
+		}
+		docs[d.Stamp] = dialplan.Compile(x)
+	}
+	var plan *dialplan.Table
+	if r.Plan != nil {
+		plan = dialplan.Compile(*r.Plan)
+	}
+	w.now = first
+	clock := func() time.Time { return time.UnixMicro(w.now) }
+	since := func() time.Duration { return time.Duration(w.now-first+3600e6) * time.Microsecond }
+	for _, t := range c.Nodes {
+		n := &node{r: t, plan: plan, tickets: t.Tickets}
+		n.pools = switchboard.NewPools(t.Site, t.Far, t.Heavy).Prefer(t.Node, int(t.Near))
+		rng := rand.New(rand.NewPCG(r.Seed, hash(t.Node)))
+		n.pools.Draw(rng.Float64, func() int64 { return w.now * 1000 })
+		ry := Retries{t.Ratio, t.Slack, time.Duration(t.WindowS * float64(time.Second))}
+		if r.Retries != nil {
+			ry = *r.Retries
+		}
+		n.budget = switchboard.NewBudget(ry.Ratio, ry.Slack, ry.Window, n.pools.Nodes, since)
+		n.cords = cord.New(cord.Options{Now: clock, Config: func() uint64 { return stampOf(n.plan) }, Touch: time.Hour, Idle: time.Hour, Most: 1 << 20,
+			Ask: func(_ context.Context, q *trunk.PinReq) (*trunk.PinResp, error) {
+				ch, p := w.pins.Pin(q, since())
+				if ch != nil {
+					w.pins.Apply(ch, since())
+				}
+				return &trunk.PinResp{Ok: true, Service: p.Service, Endpoint: p.Endpoint, Moved: p.Moved, Full: p.Full}, nil
+			}})
+		for i, v := range t.Views {
+			x := views[[2]uint64{v.Epoch, v.Stamp}]
+			if x == nil {
+				continue
+			}
+			if i == 0 {
+				n.pools.Set(x)
+			} else {
+				w.at(v.AtUs, func() { n.pools.Set(x) })
+			}
+		}
+		for i, p := range t.Configs {
+			x := docs[p.Stamp]
+			if plan != nil || x == nil {
+				continue
+			}
+			if i == 0 {
+				n.plan = x
+			} else {
+				w.at(p.AtUs, func() { n.plan = x })
+			}
+		}
+		w.nodes = append(w.nodes, n)
+	}
+	return w, nil
+}
+
+func stampOf(t *dialplan.Table) uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.Stamp
+}
+
+func hash(s string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(s))
+	return h.Sum64()
+}
+
+func (w *world) place(id string) *place {
+	p := w.places[id]
+	if p == nil {
+		p = &place{slots: 1, speed: 1}
+		w.places[id] = p
+	}
+	return p
+}
+
+// play runs all tickets.
+func (w *world) play() {
+	for _, n := range w.nodes {
+		for _, t := range n.tickets {
+			w.at(t.AtUs, func() { w.begin(n, t) })
+		}
+	}
+	for len(w.ag) > 0 {
+		e := heap.Pop(&w.ag).(event)
+		w.now = e.at
+		e.f()
+	}
+}
+
+// ride is one request under way.
+type ride struct {
+	w      *world
+	n      *node
+	t      *trunk.Ticket
+	f      *Fare
+	plan   *dialplan.Table
+	route  *dialplan.Route
+	course switchboard.Course
+	left   []*trunk.Dispatch
+	rng    *rand.Rand
+	at     int64
+	due    int64
+	only   string
+	moves  int
+	over   bool
+	second bool
+}
+
+func (w *world) begin(n *node, t *trunk.Ticket) {
+	f := &Fare{}
+	w.fares[t] = f
+	x := &ride{w: w, n: n, t: t, f: f, plan: n.plan, at: w.now, left: slices.Clone(t.Dispatches), rng: rand.New(rand.NewPCG(w.rules.Seed, hash(t.Id)))}
+	if x.plan == nil {
+		if t.Code != 0 && t.Binding == "" {
+			x.end(int(t.Code))
+		} else {
+			x.end(503)
+		}
+		return
+	}
+	path, query, _ := strings.Cut(t.Target, "?")
+	x.route = x.plan.Find(t.Host, path)
+	if x.route == nil {
+		x.end(switchboard.NoRoute.Code())
+		return
+	}
+	r := x.route
+	f.Binding, f.Kind, f.kind, f.aim = r.Name, r.Kind.String(), r.Kind, r.Target
+	ix, ok := r.Pick(t.Draw)
+	if !ok {
+		x.end(switchboard.Refused.Code())
+		return
+	}
+	f.Service = x.plan.Services[ix].Name
+	if r.Policy != nil {
+		may, _ := r.Policy.Allows(dialplan.Asked{Method: t.Method, Path: path, Query: query, Caller: t.Caller, BodyBytes: int(t.Body), Header: func(h string) string {
+			v, ok := t.Headers[h]
+			if !ok {
+				f.Model = true
+			}
+			return v
+		}})
+		if !may {
+			x.end(switchboard.Barred.Code())
+			return
+		}
+	}
+	d := time.Duration(t.DeadlineUs) * time.Microsecond
+	if d == 0 || r.Timeout > 0 && r.Timeout < d {
+		d = r.Timeout
+		if d == 0 {
+			d = time.Minute
+		}
+	}
+	f.due = d
+	x.due = x.at + d.Microseconds()
+	if t.Body > x.plan.Limits.BodyBytes {
+		x.end(413)
+		return
+	}
+	if t.Session != "" && !x.seat() {
+		return
+	}
+	if f.Binding == t.Binding && f.Kind == t.Kind && len(t.Dispatches) == 0 && t.Code != 0 && t.Code != 404 && f.Service == t.Service {
+		x.end(int(t.Code))
+		return
+	}
+	n.budget.Earn(f.Service)
+	x.start()
+	x.step()
+}
+
+func (x *ride) start() {
+	heavy := x.route.Kind == dialplan.Upload || x.route.Kind == dialplan.Download || x.t.Body > 16<<10
+	x.course = switchboard.NewCourse(x.n.pools, x.n.budget, x.route, x.f.Service, heavy)
+	x.course.Lead(func() string {
+		for _, d := range x.left {
+			if d.Service == x.f.Service {
+				return d.Endpoint
+			}
+		}
+		return ""
+	})
+	x.course.Only(x.only)
+}
+
+// seat finds the session's instance, as the live filter does.
+func (x *ride) seat() bool {
+	r, k := x.route, x.t.Session
+	if r.Pin.Name == "" {
+		return true
+	}
+	allowed := x.plan.Allowed(r)
+	service := x.f.Service
+	if i, ok := r.Pick(cord.Draw(k)); ok {
+		service = x.plan.Services[i].Name
+	}
+	p := x.n.cords.Find(context.Background(), cord.Ask{Key: k, Allowed: allowed, Service: service, Before: []string{x.t.Service}}, x.n.pools)
+	if p.State == cord.Hold {
+		x.end(switchboard.Refused.Code())
+		return false
+	}
+	x.f.Service, x.only, x.f.Seat = p.Service, p.Endpoint, p.Endpoint
+	return true
+}
+
+func (x *ride) now() time.Duration { return time.Duration(x.w.now-x.at) * time.Microsecond }
+
+func (x *ride) end(code int) {
+	if x.over {
+		return
+	}
+	x.over = true
+	x.f.Code, x.f.took = code, x.now()
+	x.f.TookMs = x.f.took.Milliseconds()
+}
+
+func (x *ride) give(o switchboard.Answer) {
+	if x.only != "" && !x.course.MayRun() && o == switchboard.Refused && x.moves < 3 {
+		if ok, _ := x.n.pools.Sits(x.f.Service, x.only); !ok {
+			x.moves++
+			if x.seat() {
+				x.start()
+				x.step()
+			}
+			return
+		}
+	}
+	x.end(x.course.End(o, x.w.now >= x.due).Code())
+}
+
+func (x *ride) step() {
+	if x.over {
+		return
+	}
+	if x.w.now >= x.due {
+		x.give(switchboard.Refused)
+		return
+	}
+	s, m := x.course.Next()
+	switch m {
+	case switchboard.Stop:
+		x.give(switchboard.Refused)
+	case switchboard.Pause:
+		x.w.at(x.w.now+20000, x.step)
+	default:
+		x.second = false
+		done := false
+		x.dispatch(s, func(r Run) {
+			done = true
+			x.landed(s, r, false)
+		})
+		if !x.course.MayRace() {
+			return
+		}
+		late := x.w.now + min(switchboard.Patience(x.w.usual[x.f.Binding]), time.Duration(x.due-x.w.now)*time.Microsecond/2).Microseconds()
+		x.w.at(late, func() {
+			if done || x.over {
+				return
+			}
+			if o, ok := x.course.Second(); ok {
+				x.second = true
+				x.dispatch(o, func(r Run) { x.landed(o, r, true) })
+			}
+		})
+	}
+}
+
+// landed takes the end of a dispatch; of two that race the first good one
+// counts.
+func (x *ride) landed(s switchboard.Seat, r Run, raced bool) {
+	x.f.Runs = append(x.f.Runs, r)
+	if x.over {
+		return
+	}
+	if r.fate == switchboard.Ran && r.code >= 500 && x.route.Kind.Repeatable() && (x.second || x.course.More()) && x.n.budget.Afford(x.f.Service) {
+		r.fate = switchboard.Unsure
+	}
+	switch {
+	case r.fate == switchboard.Ran:
+		x.f.answered = true
+		x.end(r.code)
+		return
+	case r.fate == switchboard.Quit:
+		x.f.quit = true
+		x.end(0)
+		return
+	case x.second:
+		x.second = false
+		x.course.Lost(s, r.fate)
+		return
+	}
+	if o, done := x.course.Got(s, r.fate); done {
+		x.give(o)
+		return
+	}
+	x.step()
+}
+
+// dispatch follows the record where the request went to that endpoint, and the
+// model where it did not.
+func (x *ride) dispatch(s switchboard.Seat, done func(Run)) {
+	w, id := x.w, s.ID()
+	p := w.place(id)
+	at := w.now
+	s.Begin()
+	finish := func(r Run) {
+		s.End(p.run+len(p.wait), time.Duration(float64(w.usual[x.f.Binding])*p.speed), w.now*1000)
+		done(r)
+	}
+	for i, d := range x.left {
+		if d.Endpoint != id || d.Service != x.f.Service {
+			continue
+		}
+		x.left = slices.Delete(x.left, i, i+1)
+		f, _ := switchboard.FateOf(d.Fate)
+		r := Run{Endpoint: id, Service: x.f.Service, Fate: d.Fate, fate: f, code: int(d.Code), AtMs: (at - x.at) / 1000, TookMs: d.TookUs / 1000}
+		end := at + d.TookUs
+		if end > x.due && f != switchboard.Quit {
+			end, r.fate, r.Fate, r.TookMs = x.due, switchboard.Late, "late", (x.due-at)/1000
+		}
+		p.run++
+		w.at(end, func() {
+			w.free(p)
+			finish(r)
+		})
+		return
+	}
+	x.f.Model = true
+	left := time.Duration(x.due-at) * time.Microsecond
+	usual := w.usual[x.f.Binding]
+	if usual == 0 {
+		usual = 50 * time.Millisecond
+	}
+	took, f, code := x.model(p, usual)
+	begin := func() {
+		start := w.now
+		p.run++
+		end, fate := start+took.Microseconds(), f
+		if end > x.due {
+			end, fate = x.due, switchboard.Late
+		}
+		w.at(end, func() {
+			w.free(p)
+			finish(Run{Endpoint: id, Service: x.f.Service, Fate: word(fate), fate: fate, code: code, Model: true, AtMs: (at - x.at) / 1000, TookMs: (end - at) / 1000})
+		})
+	}
+	if p.run < p.slots {
+		begin()
+		return
+	}
+	most := left
+	if !p.direct {
+		most = switchboard.MayWait(x.route.Target, x.now(), left, usual, x.t.Fresh, x.course.Short())
+	}
+	if est := time.Duration(len(p.wait)+1) * usual / time.Duration(p.slots); est > most {
+		fate := switchboard.Bounced
+		if p.direct {
+			fate = switchboard.Turned
+		}
+		w.at(at+1000, func() {
+			finish(Run{Endpoint: id, Service: x.f.Service, Fate: word(fate), fate: fate, Model: true, AtMs: (at - x.at) / 1000, TookMs: 1})
+		})
+		return
+	}
+	p.wait = append(p.wait, begin)
+}
+
+func word(f switchboard.Fate) string { return f.String() }
+
+func (w *world) free(p *place) {
+	p.run--
+	if len(p.wait) > 0 && p.run < p.slots {
+		f := p.wait[0]
+		p.wait = p.wait[1:]
+		f()
+	}
+}
+
+const near = int64(time.Second / time.Microsecond)
+
+// model draws what would happen at an endpoint where the record has nothing of
+// this request: its own time elsewhere, scaled by the two endpoints' speeds,
+// and failures as often as the record has them there around that moment.
+func (x *ride) model(p *place, usual time.Duration) (time.Duration, switchboard.Fate, int) {
+	took := time.Duration(float64(usual) * p.speed)
+	for _, d := range x.t.Dispatches {
+		if d.Fate == "ran" && d.Code < 500 {
+			took = time.Duration(float64(d.TookUs)*p.speed/max(x.w.place(d.Endpoint).speed, 0.05)) * time.Microsecond
+		}
+	}
+	i, _ := slices.BinarySearchFunc(p.marks, x.w.now-near, func(m mark, t int64) int { return cmp.Compare(m.at, t) })
+	var bad []mark
+	n := 0
+	for ; i < len(p.marks) && p.marks[i].at < x.w.now+near; i++ {
+		m := p.marks[i]
+		n++
+		if m.fate == switchboard.Unsure || m.fate == switchboard.Late || m.fate == switchboard.Unmet || m.fate == switchboard.Ran && m.code >= 500 {
+			bad = append(bad, m)
+		}
+	}
+	if n >= 3 && len(bad) > 0 && x.rng.Float64() < float64(len(bad))/float64(n) {
+		m := bad[x.rng.IntN(len(bad))]
+		return time.Duration(m.took) * time.Microsecond, m.fate, m.code
+	}
+	return took, switchboard.Ran, 200
+}
+
+func pathOf(target string) string {
+	if u, err := url.ParseRequestURI(target); err == nil {
+		return u.Path
+	}
+	return target
+}
--- a/internal/switchboard/course.go
+++ b/internal/switchboard/course.go
@@ -18,6 +18,19 @@
 	quit
 )
 
+// Fate is what became of one dispatch.
+type Fate = result
+
+const (
+	Ran     = answered
+	Bounced = bounced
+	Unmet   = unmet
+	Turned  = turned
+	Unsure  = broken
+	Late    = timeout
+	Quit    = quit
+)
+
 // Move is what a course wants next.
 type Move int
 
@@ -52,6 +65,7 @@
 	wide     bool
 	tried    []*remote
 	ran      []*remote
+	lead     func() string
 }
 
 func NewCourse(p *Pools, b *Budget, route *dialplan.Route, to string, heavy bool) Course {
@@ -69,6 +83,12 @@
 	if c.only != "" {
 		return c.pools.find(c.to, c.only)
 	}
+	if c.lead != nil {
+		if r := c.pools.find(c.to, c.lead()); r != nil && !(want{tried: c.tried}).had(r) {
+			c.tried = append(c.tried, r)
+			return r
+		}
+	}
 	r := c.pools.pick(want{service: c.to, heavy: c.heavy, pure: c.route.Kind.Repeatable(), aim: c.route.Target, tried: c.tried, wide: c.wide})
 	if r != nil {
 		c.tried = append(c.tried, r)
@@ -181,3 +201,46 @@
 	}
 	return o
 }
+
+// Answer is the outcome of a request that the system answers itself.
+type Answer = outcome
+
+const (
+	NoRoute = noRoute
+	Refused = refused
+	Barred  = barred
+	Expired = expired
+)
+
+func (o outcome) Code() int { return outcomes[o].code }
+
+func (o outcome) Text() string { return outcomes[o].text }
+
+// Promises tells that the answer says the request has not run and never will.
+func Promises(code int) bool { return code == 503 || code == 429 || code == 408 || code == 421 }
+
+// The steps of a course, for those who play it without a wire.
+
+func (c *Course) Next() (Seat, Move) { r, m := c.next(); return Seat{r}, m }
+
+func (c *Course) Got(s Seat, f Fate) (Answer, bool) { return c.got(s.r, f, false) }
+
+func (c *Course) Second() (Seat, bool) { r := c.second(); return Seat{r}, r != nil }
+
+func (c *Course) Lost(s Seat, f Fate) { c.lost(s.r, f) }
+
+func (c *Course) End(o Answer, past bool) Answer { return c.end(o, past) }
+
+func (c *Course) MayRace() bool { return c.mayRace() }
+
+func (c *Course) MayRun() bool { return c.mayRun }
+
+func (c *Course) More() bool { return c.more() }
+
+func (c *Course) Short() bool { return c.short() }
+
+// Only keeps the course to one endpoint.
+func (c *Course) Only(id string) { c.only = id }
+
+// Lead names endpoints to take before the choice by load, while they may be.
+func (c *Course) Lead(f func() string) { c.lead = f }
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -83,10 +83,7 @@
 	return refused, false
 }
 
-// patience is how long an endpoint may be silent before it counts as ill.
-func (t *trip) patience() time.Duration {
-	return max(4*t.b.longest.usual(t.route.Name), 500*time.Millisecond)
-}
+func (t *trip) patience() time.Duration { return Patience(t.b.longest.usual(t.route.Name)) }
 
 // race dispatches to r. A request that may run twice gets a second dispatch,
 // paid by the budget, once the first has been silent for much longer than
@@ -179,6 +176,7 @@
 	}
 	y.took = time.Since(t1)
 	quick := patient.Stop()
+	t.rec.dispatched(t, r, y, t1)
 	if y.res == answered {
 		t.b.longest.answered(t.route.Name, y.took)
 		t.b.Flows.add(flow{t.route.Name, t.route.Kind, t.to, r.id, r.node, t.route.Target}, y.took)
@@ -285,14 +283,9 @@
 	return nil, broken
 }
 
-// sendOver goes by the node beside the endpoint.
-func (t *trip) sendOver(ctx context.Context, r *remote, short bool) (*http.Response, result) {
-	out := t.head(r)
-	out[hdrRank] = []string{strconv.Itoa(t.route.Rank)}
-	left := time.Until(t.due) - t.b.o.Margin
-	out[hdrDeadline] = []string{millis(left)}
-	usual := t.b.longest.usual(t.route.Name)
-	if w := t.route.Target - time.Since(t.t0) - usual/2; t.fresh && t.route.Target > 0 {
+// MayWait is how long a request may stand in the queue beside an endpoint.
+func MayWait(aim, passed, left, usual time.Duration, fresh, short bool) time.Duration {
+	if w := aim - passed - usual/2; fresh && aim > 0 {
 		left = min(left-usual, w)
 	} else {
 		left = left/2 - usual
@@ -300,6 +293,20 @@
 	if short {
 		left = min(left, max(usual/2, 10*time.Millisecond))
 	}
+	return left
+}
+
+// Patience is how long an endpoint may be silent before it counts as ill.
+func Patience(usual time.Duration) time.Duration { return max(4*usual, 500*time.Millisecond) }
+
+// sendOver goes by the node beside the endpoint.
+func (t *trip) sendOver(ctx context.Context, r *remote, short bool) (*http.Response, result) {
+	out := t.head(r)
+	out[hdrRank] = []string{strconv.Itoa(t.route.Rank)}
+	left := time.Until(t.due) - t.b.o.Margin
+	out[hdrDeadline] = []string{millis(left)}
+	usual := t.b.longest.usual(t.route.Name)
+	left = MayWait(t.route.Target, time.Since(t.t0), left, usual, t.fresh, short)
 	out[hdrWait] = []string{millis(left)}
 	if !t.fresh {
 		out[hdrLate] = []string{"1"}
@@ -372,6 +379,7 @@
 		t.later(y.end)
 	}
 	defer y.p.Body.Close()
+	t.rec.end(y.p.StatusCode, "")
 	begin(t.w, t.r.Method, y.p, y.b, y.whole)
 	finish(t.w, y.p, y.b, y.whole)
 	return true
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,10 +16,12 @@
 
 type InboundOptions struct {
 	AppAddr string
-	Desk    *subscriber.Desk
-	Line    *AppLine
-	Note    func(f string, a ...any)
-	Peek    int
+	// LinkMbps is what this machine's link takes, 0 if not known.
+	LinkMbps float64
+	Desk     *subscriber.Desk
+	Line     *AppLine
+	Note     func(f string, a ...any)
+	Peek     int
 }
 
 // Inbound alone reaches the endpoint beside this node.
@@ -25,6 +29,34 @@
 	o       InboundOptions
 	Running atomic.Int64
 	leaving atomic.Bool
+	out     rate
+}
+
+// rate is how much went out over the last moments.
+type rate struct {
+	mu sync.Mutex
+	x  float64
+	at time.Time
+}
+
+const rateOver = 600 * time.Millisecond
+
+func (r *rate) add(n int64, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.x = r.left(now) + float64(n)
+	r.at = now
+}
+
+func (r *rate) left(now time.Time) float64 {
+	return r.x * math.Exp(-float64(now.Sub(r.at))/float64(rateOver))
+}
+
+// perS gives bytes a second.
+func (r *rate) perS(now time.Time) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.left(now) / rateOver.Seconds()
 }
 
 func NewInbound(o InboundOptions) *Inbound { return &Inbound{o: o} }
@@ -50,7 +82,7 @@
 	h["Date"] = nil
 	h.Set(hdrOutcome, outcome)
 	h.Set(hdrReason, reason)
-	h.Set(hdrLoad, loadText(v.n.o.Desk))
+	h.Set(hdrLoad, v.n.loadText())
 	h.Set("Content-Length", "0")
 	code := http.StatusBadGateway
 	if outcome == sayBounced || outcome == sayRefused {
@@ -60,9 +92,13 @@
 	return true
 }
 
-func loadText(d *subscriber.Desk) string {
-	l := d.Load()
-	return fmt.Sprintf("%d,%d,%d,%d", l.Running, l.Queued, l.Slots, l.Work/time.Millisecond)
+func (n *Inbound) loadText() string {
+	l := n.o.Desk.Load()
+	link := 0
+	if m := n.o.LinkMbps; m > 0 {
+		link = int(100 * n.out.perS(time.Now()) * 8 / (m * 1e6))
+	}
+	return fmt.Sprintf("%d,%d,%d,%d,%d", l.Running, l.Queued, l.Slots, l.Work/time.Millisecond, min(link, 100))
 }
 
 func (n *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -169,7 +205,8 @@
 	if whole {
 		v.n.o.Desk.Answered(v.life, time.Since(t0))
 	}
-	v.w.Header().Set(hdrLoad, loadText(v.n.o.Desk))
+	v.n.out.add(max(p.ContentLength, int64(len(b)))+600, time.Now())
+	v.w.Header().Set(hdrLoad, v.n.loadText())
 	begin(v.w, v.r.Method, p, b, whole)
 	finish(v.w, p, b, whole)
 	if !whole {
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -13,6 +13,7 @@
 
 	"corkcove/internal/cord"
 	"corkcove/internal/dialplan"
+	"corkcove/internal/ticket"
 )
 
 type outcome int
@@ -58,6 +59,7 @@
 	App     *AppLine
 	Budget  *Budget
 	Cords   *cord.Cords
+	Tickets *ticket.Recorder
 	Ready   func() bool
 	Note    func(f string, a ...any)
 	Peek    int
@@ -143,6 +145,7 @@
 	pinned string
 	only   string
 	wait   time.Duration
+	rec    *record
 }
 
 func (t *trip) later(f func()) { t.clean = append(t.clean, f) }
@@ -150,6 +153,7 @@
 func (t *trip) answer(o outcome) bool {
 	x := outcomes[o]
 	t.b.Tally[o].Add(1)
+	t.rec.end(x.code, x.text)
 	h := t.w.Header()
 	h["Date"] = nil
 	h["Content-Type"] = []string{"text/plain"}
@@ -173,7 +177,9 @@
 		w.Header()["Keep-Alive"] = []string{"timeout=" + strconv.Itoa(int(p.Limits.Idle/time.Second)-2)}
 	}
 	t := &trip{b: b, w: w, r: r, t0: time.Now()}
+	t.rec = b.begin(t)
 	defer func() {
+		b.file(t)
 		for i := len(t.clean) - 1; i >= 0; i-- {
 			t.clean[i]()
 		}
@@ -202,7 +208,9 @@
 	if t.route == nil {
 		return t.answer(noRoute)
 	}
-	i, ok := t.route.Pick(rand.Float64())
+	x := rand.Float64()
+	t.rec.drawn(x)
+	i, ok := t.route.Pick(x)
 	if !ok {
 		return t.answer(refused)
 	}
@@ -215,7 +223,7 @@
 		return false
 	}
 	p, q, _ := strings.Cut(t.r.RequestURI, "?")
-	ok, err := t.route.Policy.Allows(dialplan.Asked{Method: t.r.Method, Path: p, Query: q, Caller: t.b.o.Service, BodyBytes: int(t.r.ContentLength), Header: t.r.Header.Get})
+	ok, err := t.route.Policy.Allows(dialplan.Asked{Method: t.r.Method, Path: p, Query: q, Caller: t.b.o.Service, BodyBytes: int(t.r.ContentLength), Header: t.rec.header(t.r.Header.Get)})
 	if err != nil {
 		t.b.o.Note("policy of %s: %v", t.route.Name, err)
 	}
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -27,15 +28,30 @@
 	up      bool
 	cold    bool
 	grey    bool
+	busy    *mean
 	*gauge
 }
 
+// mean is how full the endpoints of a service in one site were, over the last
+// answers from any of them.
+type mean struct{ x atomic.Uint64 }
+
+const meanOf = 24
+
+func (m *mean) note(v float64) {
+	o := math.Float64frombits(m.x.Load())
+	m.x.Store(math.Float64bits(o + (v-o)/meanOf))
+}
+
+func (m *mean) get() float64 { return math.Float64frombits(m.x.Load()) }
+
 // direct tells that no node stands beside the endpoint: it is dialled itself.
 func (r *remote) direct() bool { return r.inbound == "" }
 
 type gauge struct {
 	pace    pace
 	blame   blame
+	link    atomic.Int64
 	mine    atomic.Int64
 	load    atomic.Int64
 	work    atomic.Int64
@@ -69,6 +85,7 @@
 	some  int
 	mu    sync.Mutex
 	all   map[string]*gauge
+	busy  map[string]*mean
 	cur   atomic.Pointer[pool]
 	far   float64
 	heavy float64
@@ -77,7 +94,7 @@
 }
 
 func NewPools(site string, far, heavy float64) *Pools {
-	p := &Pools{site: site, all: map[string]*gauge{}, far: far, heavy: heavy, draw: rand.Float64, clock: func() int64 { return time.Now().UnixNano() }}
+	p := &Pools{site: site, all: map[string]*gauge{}, busy: map[string]*mean{}, far: far, heavy: heavy, draw: rand.Float64, clock: func() int64 { return time.Now().UnixNano() }}
 	p.cur.Store(&pool{by: map[string]*party{}})
 	return p
 }
@@ -127,7 +144,11 @@
 			y = &party{}
 			n.by[e.Service] = y
 		}
-		r := &remote{id: e.Id, node: e.Node, inbound: e.Inbound, addr: e.Addr, site: e.Site,
+		k := e.Service + " " + e.Site
+		if p.busy[k] == nil {
+			p.busy[k] = &mean{}
+		}
+		r := &remote{busy: p.busy[k], id: e.Id, node: e.Node, inbound: e.Inbound, addr: e.Addr, site: e.Site,
 			slots: max(int64(e.Slots), 1), up: e.State == "up", cold: e.ColdMs > 0, grey: e.Grey, gauge: g}
 		y.all = append(y.all, r)
 		if r.site == p.site {
@@ -145,10 +166,10 @@
 
 func (r *remote) heardLoad(s string) {
 	f := strings.Split(s, ",")
-	if len(f) != 4 {
+	if len(f) != 5 {
 		return
 	}
-	var x [4]int64
+	var x [5]int64
 	for i := range f {
 		n, err := strconv.ParseInt(f[i], 10, 64)
 		if err != nil {
@@ -158,24 +179,37 @@
 	}
 	r.load.Store(x[0] + x[1])
 	r.work.Store(x[3] * int64(time.Millisecond))
+	r.link.Store(min(max(x[4], 0), 100))
+	if r.busy != nil {
+		r.busy.note(float64(x[0]+x[1]) / float64(max(x[2], 1)))
+	}
 	r.heard.Store(time.Now().UnixNano())
 }
 
 // score is the time until the endpoint would have answered, with bytes between
-// sites counted as time.
-func (r *remote) score(site string, far, usual float64, now int64) float64 {
+// sites counted as time. What is not known, or not for long, is taken to be as
+// at its site's others.
+func (r *remote) score(site string, far, usual float64, heavy bool, now int64) float64 {
 	age := float64(now-r.heard.Load()) / float64(forget)
-	ld := float64(r.load.Load()) / (1 + age*age)
-	u := (max(ld, float64(r.mine.Load())) + 1) / float64(r.slots)
-	w := usual
-	if v := r.work.Load(); v > 0 {
-		age /= 8
-		w += (float64(v) - usual) / (1 + age*age)
+	fresh := 1 / (1 + age*age)
+	prior := 0.0
+	if r.busy != nil {
+		prior = r.busy.get() * float64(r.slots)
 	}
+	ld := prior + (float64(r.load.Load())-prior)*fresh
+	u := (max(ld, float64(r.mine.Load())) + 1) / float64(r.slots)
+	w := r.pay(usual, now)
 	s := w * (1 + u*u)
 	if u > 1 {
 		s += w * (u - 1) * 2
 	}
+	if l := float64(r.link.Load()) / 100 / (1 + age*age/16); l > 0.4 {
+		k := 1 / (1.05 - l)
+		if !heavy {
+			k = 1 + (k-1)/4
+		}
+		s *= k
+	}
 	if r.cold {
 		s *= 2
 	}
@@ -185,6 +219,16 @@
 	return s
 }
 
+// pay is the time that a request takes there.
+func (r *remote) pay(usual float64, now int64) float64 {
+	v := r.work.Load()
+	if v == 0 {
+		return usual
+	}
+	age := float64(now-r.heard.Load()) / float64(8*forget)
+	return usual + (float64(v)-usual)/(1+age*age)
+}
+
 // usualWork is the mean time of the endpoints heard from: what one not heard
 // from, or not for long, is taken to need.
 func usualWork(rs []*remote) float64 {
@@ -260,7 +304,7 @@
 		if w.heavy {
 			limit = w.aim
 		}
-		if score <= float64(limit) {
+		if score <= float64(limit) && p.draw() < stay(best.busy.get()) {
 			return best
 		}
 	}
@@ -272,6 +316,48 @@
 	return spare
 }
 
+// stay is the share of requests that keep to a site whose endpoints are that
+// full.
+func stay(busy float64) float64 { return min(max((1.1-busy)/0.5, 0), 1) }
+
+const (
+	fewEnough = 4
+	draws     = 3
+)
+
+// drawn takes the best of a few, drawn by what each can take: with many
+// endpoints a sender knows little of each, and if each sender took what seems
+// best, all would run to the same.
+func (p *Pools) drawn(rs []*remote, w want, now int64, far, usual float64) (best *remote, bs float64) {
+	sums := make([]float64, len(rs))
+	sum := 0.0
+	for i, r := range rs {
+		if r.up && !r.grey && !r.drained.Load() && r.shunned.Load() <= now && !w.had(r) {
+			c := float64(r.slots) / r.pay(usual, now)
+			if r.site != p.site {
+				c /= far
+			}
+			sum += c
+		}
+		sums[i] = sum
+	}
+	if sum == 0 {
+		return nil, 0
+	}
+	for range draws {
+		i, _ := slices.BinarySearch(sums, p.draw()*sum)
+		for i < len(rs)-1 && (i > 0 && sums[i] == sums[i-1] || sums[i] == 0) {
+			i++
+		}
+		r := rs[i]
+		s := r.score(p.site, far, usual, w.heavy, now) * (1 + 0.1*p.draw())
+		if best == nil || s < bs {
+			best, bs = r, s
+		}
+	}
+	return best, bs
+}
+
 func (p *Pools) find(service, id string) *remote {
 	if y := p.cur.Load().by[service]; y != nil {
 		for _, r := range y.all {
@@ -285,6 +371,11 @@
 
 // least leaves out grey and shunned endpoints unless there are no others.
 func (p *Pools) least(rs []*remote, w want, now int64, far, usual float64) (best *remote, bs float64, spare *remote) {
+	if len(rs) > fewEnough {
+		if best, bs = p.drawn(rs, w, now, far, usual); best != nil {
+			return best, bs, nil
+		}
+	}
 	var grey *remote
 	var gs float64
 	for _, r := range rs {
@@ -295,7 +386,7 @@
 			spare = r
 			continue
 		}
-		s := r.score(p.site, far, usual, now) * (1 + 0.3*p.draw())
+		s := r.score(p.site, far, usual, w.heavy, now) * (1 + 0.3*p.draw())
 		switch {
 		case r.grey && (grey == nil || s < gs):
 			grey, gs = r, s
@@ -393,6 +484,12 @@
 
 func (s Seat) ID() string { return s.r.id }
 
+func (s Seat) Node() string { return s.r.node }
+
+func (s Seat) Slots() int { return int(s.r.slots) }
+
+func (s Seat) Direct() bool { return s.r.direct() }
+
 func (s Seat) Begin() { s.r.mine.Add(1) }
 
 func (s Seat) End(load int, work time.Duration, now int64) {
--- /dev/null
+++ b/internal/ticket/ticket.go
@@ -0,0 +1,193 @@
+// Package ticket keeps a record of the requests that a node carried, in a
+// bounded ring: who asked what, where it was dispatched, what became of it.
+// Bodies are not kept, nor header values that no policy asked for.
+package ticket
+
+import (
+	"sync"
+	"time"
+
+	"corkcove/internal/trunk"
+)
+
+const (
+	keepMarks = 512
+	balances  = 256
+	eachS     = time.Second
+)
+
+type viewAt struct {
+	at   int64
+	view *trunk.View
+}
+
+type configAt struct {
+	at    int64
+	stamp uint64
+	doc   func() []byte
+}
+
+// Recorder is guarded by one short lock; a nil one keeps nothing.
+type Recorder struct {
+	mu      sync.Mutex
+	now     func() time.Time
+	span    time.Duration
+	ring    []*trunk.Ticket
+	n       uint64
+	open    int
+	began   int64
+	views   []viewAt
+	configs []configAt
+	bal     []*trunk.Balance
+	balAt   map[string]int64
+}
+
+// New keeps the last most requests of the last span.
+func New(most int, span time.Duration, now func() time.Time) *Recorder {
+	return &Recorder{now: now, span: span, ring: make([]*trunk.Ticket, most), began: now().UnixMicro(), balAt: map[string]int64{}}
+}
+
+func (r *Recorder) Begin() {
+	r.mu.Lock()
+	r.open++
+	r.mu.Unlock()
+}
+
+func (r *Recorder) End(t *trunk.Ticket, left func(service string) float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.open--
+	if t == nil || len(r.ring) == 0 {
+		return
+	}
+	r.ring[r.n%uint64(len(r.ring))] = t
+	r.n++
+	at := t.AtUs + t.TookUs
+	if t.Service != "" && at-r.balAt[t.Service] > eachS.Microseconds() {
+		r.balAt[t.Service] = at
+		r.bal = append(r.bal, &trunk.Balance{AtUs: at, Service: t.Service, Left: left(t.Service)})
+		if len(r.bal) > balances {
+			r.bal = append([]*trunk.Balance(nil), r.bal[balances/4:]...)
+		}
+	}
+}
+
+// View notes a view that came into force here.
+func (r *Recorder) View(v *trunk.View) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.now().UnixMicro()
+	r.views = append(r.views, viewAt{at, v})
+	n := 0
+	for n < len(r.views)-1 && (len(r.views)-n > keepMarks || at-r.views[n+1].at > r.span.Microseconds()) {
+		n++
+	}
+	if n > 0 {
+		r.views = append([]viewAt(nil), r.views[n:]...)
+	}
+}
+
+// Config notes a configuration that came into force here; doc writes it whole.
+func (r *Recorder) Config(stamp uint64, doc func() []byte) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := r.now().UnixMicro()
+	r.configs = append(r.configs, configAt{at, stamp, doc})
+	n := 0
+	for n < len(r.configs)-1 && (len(r.configs)-n > keepMarks/8 || at-r.configs[n+1].at > r.span.Microseconds()) {
+		n++
+	}
+	if n > 0 {
+		r.configs = append([]configAt(nil), r.configs[n:]...)
+	}
+}
+
+// Report gives the tickets of the last span that ended, from the one numbered
+// from; next is 0 once there are no more.
+func (r *Recorder) Report(span time.Duration, from, most uint32) *trunk.TicketsResp {
+	if r == nil {
+		return &trunk.TicketsResp{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now().UnixMicro()
+	since := now - min(span, r.span).Microseconds()
+	o := &trunk.TicketsResp{NowUs: now, BeganUs: max(r.began, since), Unfinished: uint64(max(r.open, 0))}
+	size := uint64(len(r.ring))
+	first := uint64(0)
+	if r.n > size {
+		first = r.n - size
+	}
+	if first > 0 && size > 0 {
+		if t := r.ring[first%size]; t.AtUs > since && r.began < t.AtUs {
+			o.Dropped = first
+		}
+	}
+	k := uint32(0)
+	for i := first; i < r.n; i++ {
+		t := r.ring[i%size]
+		if t.AtUs < since {
+			continue
+		}
+		if k++; k <= from {
+			continue
+		}
+		if uint32(len(o.Tickets)) == most {
+			o.Next = k - 1
+			break
+		}
+		o.Tickets = append(o.Tickets, t)
+	}
+	if from == 0 {
+		for i, v := range r.views {
+			if i == len(r.views)-1 || r.views[i+1].at > since {
+				o.Views = append(o.Views, &trunk.Point{AtUs: v.at, Epoch: v.view.Epoch, Stamp: v.view.Stamp})
+			}
+		}
+		for i, c := range r.configs {
+			if i == len(r.configs)-1 || r.configs[i+1].at > since {
+				o.Configs = append(o.Configs, &trunk.Point{AtUs: c.at, Stamp: c.stamp})
+			}
+		}
+		for _, b := range r.bal {
+			if b.AtUs > since {
+				o.Balances = append(o.Balances, b)
+			}
+		}
+	}
+	return o
+}
+
+// Parts gives the views and configurations that are asked for and kept here.
+func (r *Recorder) Parts(q *trunk.PartsReq) *trunk.PartsResp {
+	if r == nil {
+		return &trunk.PartsResp{}
+	}
+	r.mu.Lock()
+	vs, cs := r.views, r.configs
+	r.mu.Unlock()
+	o := &trunk.PartsResp{}
+	for _, x := range q.Views {
+		for _, v := range vs {
+			if v.view.Epoch == x.Epoch && v.view.Stamp == x.Stamp {
+				o.Views = append(o.Views, v.view.Lean())
+				break
+			}
+		}
+	}
+	for _, s := range q.Configs {
+		for _, c := range cs {
+			if c.stamp == s {
+				o.Configs = append(o.Configs, &trunk.ConfigDoc{Stamp: s, Packed: trunk.Pack(c.doc())})
+				break
+			}
+		}
+	}
+	return o
+}
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -56,14 +56,18 @@
 }
 
 // Change is what an operator asks for: r12 (a configuration), view:9, or
-// key:group.name for the last put of a key that is remembered.
+// key:group.name for the last put of a key that is remembered, or pin:KEY for
+// a session under its hashed key.
 type Change struct {
 	Kind  string
 	Stamp uint64
 }
 
 func Parse(s string) (Change, error) {
-	bad := Error.New("%q is no change: give a configuration such as r12, a view such as view:9, or a key such as key:g1.a", s)
+	bad := Error.New("%q is no change: give a configuration such as r12, a view such as view:9, a key such as key:g1.a, or a session such as pin:0a1b", s)
+	if k, ok := strings.CutPrefix(s, "pin:"); ok && k != "" {
+		return Change{Kind: "pin " + k}, nil
+	}
 	if k, ok := strings.CutPrefix(s, "key:"); ok && k != "" {
 		return Change{Kind: "cell " + k}, nil
 	}
