--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -64,11 +64,24 @@
 		return err
 	}
 	_, err = numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, bool) {
-		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: v.Stamp, Data: data}}, true
+		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: v.Stamp, Data: trunk.Pack(data)}}, true
 	})
 	return err
 }
 
+// keptView reads the last view; of one that can't be read its stamp is kept.
+func keptView(b *trunk.Blob) *trunk.View {
+	v := &trunk.View{}
+	if b == nil {
+		return v
+	}
+	data, err := trunk.Unpack(b.Data)
+	if err != nil || proto.Unmarshal(data, v) != nil {
+		return &trunk.View{Stamp: b.Stamp}
+	}
+	return v
+}
+
 func users(t exchange.Table) map[string]string {
 	u := &trunk.UserStates{}
 	if b := t.Blob(usersBlob); b != nil {
@@ -105,10 +118,7 @@
 	st, doc := config(t)
 	c.conf = st
 	u, r := users(t), c.board.Roll()
-	kept := &trunk.View{}
-	if b := t.Blob(viewBlob); b != nil && proto.Unmarshal(b.Data, kept) != nil {
-		kept = &trunk.View{Stamp: b.Stamp}
-	}
+	kept := keptView(t.Blob(viewBlob))
 	c.master.Loop.Put(func() { c.master.Lead(epoch, kept, u, st, doc, r) })
 }
 
--- a/internal/switchboard/budget.go
+++ b/internal/switchboard/budget.go
@@ -90,6 +90,16 @@
 	return b.left(b.turn(service)) >= 1
 }
 
+// spare tells whether more than half of the allowance is left: what may wait
+// must not spend what failures will need.
+func (b *Budget) spare(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	u := b.turn(service)
+	l := b.left(u)
+	return l >= 1 && l > u.sumS
+}
+
 // Left is the balance as the recorder keeps it.
 func (b *Budget) Left(service string) float64 {
 	b.mu.Lock()
--- a/internal/switchboard/course.go
+++ b/internal/switchboard/course.go
@@ -165,7 +165,7 @@
 
 // second names the endpoint for a dispatch beside the one under way.
 func (c *Course) second() *remote {
-	if !c.budget.Afford(c.to) {
+	if !c.budget.spare(c.to) {
 		return nil
 	}
 	r := c.choose()
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -113,7 +113,7 @@
 		}()
 	}
 	start(0, r)
-	w := time.NewTimer(min(t.patience(), time.Until(t.due)/2))
+	w := time.NewTimer(min(RaceAfter(t.route.Target, time.Since(t.t0), t.b.longest.usual(t.route.Name)), time.Until(t.due)/2))
 	defer w.Stop()
 	select {
 	case l := <-ch:
@@ -299,6 +299,16 @@
 // Patience is how long an endpoint may be silent before it counts as ill.
 func Patience(usual time.Duration) time.Duration { return max(4*usual, 500*time.Millisecond) }
 
+// RaceAfter is how long a first dispatch may be silent before a second goes out
+// beside it: so long that a second can still be in time, but well past the
+// usual.
+func RaceAfter(aim, passed, usual time.Duration) time.Duration {
+	if aim <= 0 || usual <= 0 {
+		return Patience(usual)
+	}
+	return min(max(aim-passed-3*usual/2, 3*usual/2), Patience(usual))
+}
+
 // sendOver goes by the node beside the endpoint.
 func (t *trip) sendOver(ctx context.Context, r *remote, short bool) (*http.Response, result) {
 	out := t.head(r)
