--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -35,6 +35,7 @@
 	hdrWait    = "X-Corkcove-Wait"
 	hdrLate    = "X-Corkcove-Late"
 	hdrOnce    = "X-Corkcove-Once"
+	hdrHeavy   = "X-Corkcove-Heavy"
 )
 
 // What an inbound node says of a dispatch that brought no answer.
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"corkcove/internal/dialplan"
 )
 
 // reply is what became of one dispatch; a good one still holds its stream.
@@ -324,6 +326,9 @@
 	if !t.route.Kind.Repeatable() {
 		out[hdrOnce] = []string{"1"}
 	}
+	if t.route.Kind == dialplan.Download {
+		out[hdrHeavy] = []string{"1"}
+	}
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
 	p, err := t.b.o.Line.RoundTrip(t.asked(ctx, r.inbound, out))
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -92,12 +92,21 @@
 	return true
 }
 
-func (n *Inbound) loadText() string {
-	l := n.o.Desk.Load()
-	link := 0
+// fullLink is the share of its link, in percent, from which a node turns large
+// bodies away.
+const fullLink = 95
+
+// link is how full this machine's link is, in percent.
+func (n *Inbound) link() int {
 	if m := n.o.LinkMbps; m > 0 {
-		link = int(100 * n.out.perS(time.Now()) * 8 / (m * 1e6))
+		return int(100 * n.out.perS(time.Now()) * 8 / (m * 1e6))
 	}
+	return 0
+}
+
+func (n *Inbound) loadText() string {
+	l := n.o.Desk.Load()
+	link := n.link()
 	return fmt.Sprintf("%d,%d,%d,%d,%d", l.Running, l.Queued, l.Slots, l.Work/time.Millisecond, min(link, 100))
 }
 
@@ -140,6 +149,9 @@
 	if n, err := strconv.ParseInt(v.r.Header.Get(hdrWait), 10, 32); err == nil {
 		most = min(most, time.Duration(n)*time.Millisecond)
 	}
+	if v.r.Header.Get(hdrHeavy) != "" && v.n.link() > fullLink {
+		return v.say(sayBounced, "link")
+	}
 	free, why := v.n.o.Desk.Admit(v.ctx, v.life, subscriber.Place{Late: v.r.Header.Get(hdrLate) != "", Rank: v.rank, Due: v.due}, most)
 	if why != subscriber.None {
 		return v.say(sayBounced, string(why))
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -28,12 +28,14 @@
 	up      bool
 	cold    bool
 	grey    bool
-	busy    *mean
+	busy    *area
 	*gauge
 }
 
-// mean is how full the endpoints of a service in one site were, over the last
-// answers from any of them.
+// area is how full the endpoints of a service in one site were, and their
+// machines' links, over the last answers from any of them.
+type area struct{ slots, links mean }
+
 type mean struct{ x atomic.Uint64 }
 
 const meanOf = 24
@@ -85,7 +87,7 @@
 	some  int
 	mu    sync.Mutex
 	all   map[string]*gauge
-	busy  map[string]*mean
+	busy  map[string]*area
 	cur   atomic.Pointer[pool]
 	far   float64
 	heavy float64
@@ -94,7 +96,7 @@
 }
 
 func NewPools(site string, far, heavy float64) *Pools {
-	p := &Pools{site: site, all: map[string]*gauge{}, busy: map[string]*mean{}, far: far, heavy: heavy, draw: rand.Float64, clock: func() int64 { return time.Now().UnixNano() }}
+	p := &Pools{site: site, all: map[string]*gauge{}, busy: map[string]*area{}, far: far, heavy: heavy, draw: rand.Float64, clock: func() int64 { return time.Now().UnixNano() }}
 	p.cur.Store(&pool{by: map[string]*party{}})
 	return p
 }
@@ -146,7 +148,7 @@
 		}
 		k := e.Service + " " + e.Site
 		if p.busy[k] == nil {
-			p.busy[k] = &mean{}
+			p.busy[k] = &area{}
 		}
 		r := &remote{busy: p.busy[k], id: e.Id, node: e.Node, inbound: e.Inbound, addr: e.Addr, site: e.Site,
 			slots: max(int64(e.Slots), 1), up: e.State == "up", cold: e.ColdMs > 0, grey: e.Grey, gauge: g}
@@ -181,7 +183,8 @@
 	r.work.Store(x[3] * int64(time.Millisecond))
 	r.link.Store(min(max(x[4], 0), 100))
 	if r.busy != nil {
-		r.busy.note(float64(x[0]+x[1]) / float64(max(x[2], 1)))
+		r.busy.slots.note(float64(x[0]+x[1]) / float64(max(x[2], 1)))
+		r.busy.links.note(float64(r.link.Load()) / 100)
 	}
 	r.heard.Store(time.Now().UnixNano())
 }
@@ -194,7 +197,7 @@
 	fresh := 1 / (1 + age*age)
 	prior := 0.0
 	if r.busy != nil {
-		prior = r.busy.get() * float64(r.slots)
+		prior = r.busy.slots.get() * float64(r.slots)
 	}
 	ld := prior + (float64(r.load.Load())-prior)*fresh
 	u := (max(ld, float64(r.mine.Load())) + 1) / float64(r.slots)
@@ -203,8 +206,7 @@
 	if u > 1 {
 		s += w * (u - 1) * 2
 	}
-	if l := float64(r.link.Load()) / 100 / (1 + age*age/16); l > 0.4 {
-		k := 1 / (1.05 - l)
+	if k := r.strain(now); k > 1 {
 		if !heavy {
 			k = 1 + (k-1)/4
 		}
@@ -219,6 +221,20 @@
 	return s
 }
 
+// strain grows with how full the link of the endpoint's machine is.
+func (r *remote) strain(now int64) float64 {
+	age := float64(now-r.heard.Load()) / float64(forget)
+	prior := 0.0
+	if r.busy != nil {
+		prior = r.busy.links.get()
+	}
+	l := prior + (float64(r.link.Load())/100-prior)/(1+age*age/16)
+	if l < 0.35 {
+		return 1
+	}
+	return 0.7 / (1.05 - min(l, 1))
+}
+
 // pay is the time that a request takes there.
 func (r *remote) pay(usual float64, now int64) float64 {
 	v := r.work.Load()
@@ -304,10 +320,17 @@
 		if w.heavy {
 			limit = w.aim
 		}
-		if score <= float64(limit) && p.draw() < stay(best.busy.get()) {
+		keep := stay(best.busy.slots.get())
+		if w.heavy {
+			keep = min(keep, stay(best.busy.links.get()+0.2))
+		}
+		if score <= float64(limit) && p.draw() < keep {
 			return best
 		}
 	}
+	if best != nil && best.busy.slots.get() > 0.6 || w.heavy && best != nil && best.busy.links.get() > 0.4 {
+		far = 1 + (far-1)/4
+	}
 	if b, _, sp := p.least(y.all, w, now, far, usual); b != nil {
 		return b
 	} else if spare == nil {
@@ -334,6 +357,10 @@
 	for i, r := range rs {
 		if r.up && !r.grey && !r.drained.Load() && r.shunned.Load() <= now && !w.had(r) {
 			c := float64(r.slots) / r.pay(usual, now)
+			if w.heavy {
+				k := r.strain(now)
+				c /= k * k
+			}
 			if r.site != p.site {
 				c /= far
 			}
