--- a/cmd/corkcove/tools.go
+++ b/cmd/corkcove/tools.go
@@ -107,7 +107,14 @@
 		t.print(ss, b.String())
 		return nil
 	}
-	fmt.Fprintf(&b, "epoch %d, view %d, configuration r%d\n\n", m.Epoch, m.View, m.Config)
+	fmt.Fprintf(&b, "epoch %d, view %d, configuration r%d\n", m.Epoch, m.View, m.Config)
+	if m.Listed > 0 {
+		fmt.Fprintf(&b, "%d endpoints from the platform's list\n", m.Listed)
+	}
+	for _, g := range m.Greys {
+		fmt.Fprintf(&b, "grey: %s answers badly\n", g)
+	}
+	b.WriteString("\n")
 	fmt.Fprintf(&b, "%-28s %-14s %-12s %-16s %-9s %-9s %-11s %s\n", "node", "site", "service", "endpoint", "reported", "official", "user", "why")
 	for _, n := range m.Nodes {
 		fmt.Fprintf(&b, "%-28s %-14s %-12s %-16s %-9s %-9s %-11s %s\n", n.Name, n.Site, n.Service, n.Endpoint, n.Reported, n.Official, n.User, n.Why)
--- a/cmd/corkcove/tracing.go
+++ b/cmd/corkcove/tracing.go
@@ -84,6 +84,14 @@
 		r.Config, _ = c.master.Config()
 		if r.Master {
 			r.Nodes = c.master.Nodes()
+			for _, e := range v.Endpoints {
+				if e.Node == "" {
+					r.Listed++
+				}
+				if e.Grey {
+					r.Greys = append(r.Greys, e.Service+" "+e.Id)
+				}
+			}
 		}
 		return true
 	})
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -231,10 +232,14 @@
 			l.Why = "set out: ended too often"
 		case h.unproven:
 			l.Why = "died cold; down until warm"
+		case e == nil && h.state.GetService() == "":
+			l.Why = "an edge: no endpoint beside it"
 		case e == nil:
 			l.Why = "no endpoint known"
 		case !e.Sound:
 			l.Why = "endpoint unsound"
+		case e.Ill > 0:
+			l.Why = "failed " + strconv.Itoa(int(e.Ill)) + "% of late"
 		}
 		out = append(out, l)
 	}
