--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -461,7 +461,7 @@
 		if !x.course.MayRace() {
 			return
 		}
-		late := x.w.now + min(switchboard.RaceAfter(x.route.Target, x.now(), x.w.usual[x.f.Binding]), time.Duration(x.due-x.w.now)*time.Microsecond/2).Microseconds()
+		late := x.w.now + min(switchboard.RaceAfter(x.w.usual[x.f.Binding]), time.Duration(x.due-x.w.now)*time.Microsecond/2).Microseconds()
 		x.w.at(late, func() {
 			if done || x.over {
 				return
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -115,7 +115,7 @@
 		}()
 	}
 	start(0, r)
-	w := time.NewTimer(min(RaceAfter(t.route.Target, time.Since(t.t0), t.b.longest.usual(t.route.Name)), time.Until(t.due)/2))
+	w := time.NewTimer(min(RaceAfter(t.b.longest.usual(t.route.Name)), time.Until(t.due)/2))
 	defer w.Stop()
 	select {
 	case l := <-ch:
@@ -302,13 +302,10 @@
 func Patience(usual time.Duration) time.Duration { return max(4*usual, 500*time.Millisecond) }
 
 // RaceAfter is how long a first dispatch may be silent before a second goes out
-// beside it: so long that a second can still be in time, but well past the
-// usual.
-func RaceAfter(aim, passed, usual time.Duration) time.Duration {
-	if aim <= 0 || usual <= 0 {
-		return Patience(usual)
-	}
-	return min(max(aim-passed-3*usual/2, 3*usual/2), Patience(usual))
+// beside it. Most long requests are long wherever they run, so it is well past
+// the usual.
+func RaceAfter(usual time.Duration) time.Duration {
+	return min(max(5*usual/2, 200*time.Millisecond), Patience(usual))
 }
 
 // sendOver goes by the node beside the endpoint.
