--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -89,7 +89,7 @@
 	}
 	bd := o.Terms.Bounds
 	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
-	pools := switchboard.NewPools(o.Self.SiteName, 2.2, 5)
+	pools := switchboard.NewPools(o.Self.SiteName, 2.2, 5).Beside(o.Self.NodeName)
 	var plan atomic.Pointer[dialplan.Table]
 	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 2400 * time.Millisecond,
 		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
@@ -103,8 +103,9 @@
 			})
 		}})
 
+	pacer := switchboard.NewPacer(o.Self.LimitSet.LinkMbps)
 	app := trunk.Transport(300*time.Millisecond, 0, 4*time.Second, 64)
-	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: o.Self.AppAddr, LinkMbps: o.Self.LimitSet.LinkMbps, Desk: sub,
+	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: o.Self.AppAddr, LinkMbps: o.Self.LimitSet.LinkMbps, Pacer: pacer, Desk: sub,
 		Line: switchboard.NewAppLine(app, trunk.Transport(300*time.Millisecond, 0, time.Second, 1)), Note: p.note("inbound"),
 		Peek: 64 << 10})
 	between := trunk.Transport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
@@ -117,7 +118,7 @@
 	}
 	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
-		Budget: budget, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: budget, Pacer: pacer, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[2], out)
 	takeConfigs(ag, &plan, tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 
--- a/internal/erlang/erlang.go
+++ b/internal/erlang/erlang.go
@@ -294,7 +294,7 @@
 	now := 0.0
 	var ps []*switchboard.Pools
 	for _, x := range os {
-		p := switchboard.NewPools(x.Site, x.Far, x.Heavy)
+		p := switchboard.NewPools(x.Site, x.Far, x.Heavy).Beside(x.Node)
 		p.Draw(rng.Float64, func() int64 { return int64(now * 1e9) })
 		p.Set(&trunk.View{Stamp: 1, Endpoints: es})
 		ps = append(ps, p)
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -217,6 +217,9 @@
 	for _, t := range c.Nodes {
 		n := &node{r: t, plan: plan, tickets: t.Tickets}
 		n.pools = switchboard.NewPools(t.Site, t.Far, t.Heavy).Prefer(t.Node, int(t.Near))
+		if t.Role == "sidecar" {
+			n.pools.Beside(t.Node)
+		}
 		rng := rand.New(rand.NewPCG(r.Seed, hash(t.Node)))
 		n.pools.Draw(rng.Float64, func() int64 { return w.now * 1000 })
 		ry := Retries{t.Ratio, t.Slack, time.Duration(t.WindowS * float64(time.Second))}
--- /dev/null
+++ b/internal/supervisor/delta_test.go
@@ -0,0 +1,136 @@
+package supervisor
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/dialplan"
+	"corkcove/internal/trunk"
+)
+
+// eavesdrop counts what goes to one node.
+type eavesdrop struct {
+	trunk.Node
+	mu     sync.Mutex
+	views  []*trunk.View
+	wholes int
+	steps  int
+	bytes  int
+	drop   bool
+}
+
+func (e *eavesdrop) Publish(c context.Context, q *trunk.ViewReq) (*trunk.ViewResp, error) {
+	e.mu.Lock()
+	v := &trunk.View{}
+	proto.Unmarshal(q.Packed, v)
+	e.views = append(e.views, v)
+	d := e.drop
+	e.mu.Unlock()
+	if d {
+		return nil, errCut
+	}
+	return e.Node.Publish(c, q)
+}
+
+func (e *eavesdrop) Deliver(c context.Context, q *trunk.DeliverReq) (*trunk.DeliverResp, error) {
+	e.mu.Lock()
+	if q.Base > 0 {
+		e.steps += len(q.Patches)
+		for _, p := range q.Patches {
+			e.bytes += len(p)
+		}
+	} else {
+		e.wholes++
+	}
+	d := e.drop
+	e.mu.Unlock()
+	if d {
+		return nil, errCut
+	}
+	return e.Node.Deliver(c, q)
+}
+
+func config(stamp, routes int, timeout float64) []byte {
+	b := fmt.Appendf(nil, `{"stamp":"r%d","resourceList":[{"variant":"serviceList","metadata":{"name":"s"},"specification":{"soundnessPath":"/h"}}`, stamp)
+	for i := range routes {
+		t := 2.0
+		if i == 7 {
+			t = timeout
+		}
+		b = fmt.Appendf(b, `,{"variant":"bindingList","metadata":{"name":"b%d"},"specification":{"hostname":"a","pathPrefix":"/p%d/","bindingKind":"pure","timeoutS":%v,"serviceName":"s"}}`, i, i, t)
+	}
+	return append(b, "]}"...)
+}
+
+func TestNodesGetOnlyWhatChanged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStage(t, 12)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		e := &eavesdrop{Node: s.ns[0]}
+		a := s.ns[0].agent
+		var doc dialplan.Doc
+		a.OnConfig = func(_ uint64, b []byte) (err error) { doc, err = dialplan.Read(b); return err }
+		a.OnPatch = func(_ uint64, ps [][]byte) error {
+			for _, b := range ps {
+				p, err := dialplan.ReadPatch(b)
+				if err != nil {
+					return err
+				}
+				if doc, err = doc.With(p); err != nil {
+					return err
+				}
+			}
+			return nil
+		}
+		s.m.lines.PutNode("a0", e)
+		s.do(func() {
+			s.m.Lead(1, nil, map[string]string{}, 3, trunk.Pack(config(3, 400, 1)), &trunk.Roll{Stamp: 1})
+		})
+		s.hello()
+		pass(3 * time.Second)
+		qt.Assert(t, e.wholes, qt.Equals, 1)
+		whole := len(s.m.packed)
+		for i := range 5 {
+			s.do(func() { s.m.SetConfig(uint64(4+i), trunk.Pack(config(4+i, 400, 3+float64(i)))) })
+			pass(200 * time.Millisecond)
+		}
+		qt.Assert(t, e.wholes, qt.Equals, 1)
+		qt.Assert(t, e.steps, qt.Equals, 5)
+		qt.Assert(t, e.bytes < whole/2, qt.IsTrue)
+		qt.Assert(t, doc.Stamp, qt.Equals, uint64(8))
+		got := dialplan.Compile(doc).Find("a", "/p7/x")
+		qt.Assert(t, got.Timeout, qt.Equals, 7*time.Second)
+
+		n := len(e.views)
+		s.ns[3].agent.Set(func(n *trunk.NodeState) { n.Endpoint.State = "draining" })
+		pass(time.Second)
+		qt.Assert(t, len(e.views), qt.Equals, n+1)
+		qt.Assert(t, e.views[n].Base > 0 && len(e.views[n].Endpoints) == 1, qt.IsTrue)
+		qt.Assert(t, s.count(0), qt.Equals, 12)
+
+		e.mu.Lock()
+		e.drop = true
+		e.mu.Unlock()
+		for i := range 12 {
+			s.ns[4+i%8].agent.Set(func(n *trunk.NodeState) { n.Endpoint.Slots++ })
+			pass(600 * time.Millisecond)
+		}
+		e.mu.Lock()
+		e.drop = false
+		n = len(e.views)
+		e.mu.Unlock()
+		pass(3 * time.Second)
+		qt.Assert(t, e.views[len(e.views)-1].Base, qt.Equals, uint64(0), qt.Commentf("whole on a gap"))
+		s.ns[0].mu.Lock()
+		defer s.ns[0].mu.Unlock()
+		qt.Assert(t, a.View().Stamp, qt.Equals, s.st.v.Stamp)
+	})
+}
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -153,6 +153,7 @@
 			f.mu.Unlock()
 			return nil
 		}
+		a.OnPatch = func(st uint64, _ [][]byte) error { return a.OnConfig(st, nil) }
 		a.Start(&trunk.NodeState{Name: a.Name, Life: "l", Addr: fmt.Sprint("a", i), Inbound: fmt.Sprint("i", i), State: "up",
 			Endpoint: &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", State: "ready", Sound: true, Slots: 4}})
 		f.agent = a
--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -38,6 +38,11 @@
 	hdrHeavy   = "X-Corkcove-Heavy"
 )
 
+const (
+	heavyShort = "short"
+	heavyLong  = "long"
+)
+
 // What an inbound node says of a dispatch that brought no answer.
 const (
 	sayBounced = "bounced"
@@ -181,9 +186,9 @@
 }
 
 // finish writes the body; a body that breaks off breaks off the stream too.
-func finish(w http.ResponseWriter, p *http.Response, b []byte, whole bool) {
+func finish(w http.ResponseWriter, p *http.Response, b []byte, whole bool, pc *Pacer) {
 	if len(b) > 0 {
-		if _, err := w.Write(b); err != nil {
+		if err := pc.write(w, b); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -324,7 +324,10 @@
 		out[hdrOnce] = []string{"1"}
 	}
 	if t.route.Kind == dialplan.Download {
-		out[hdrHeavy] = []string{"1"}
+		out[hdrHeavy] = []string{heavyLong}
+		if short {
+			out[hdrHeavy] = []string{heavyShort}
+		}
 	}
 	var sent atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
@@ -393,6 +396,6 @@
 	defer y.p.Body.Close()
 	t.rec.end(y.p.StatusCode, "")
 	begin(t.w, t.r.Method, y.p, y.b, y.whole)
-	finish(t.w, y.p, y.b, y.whole)
+	finish(t.w, y.p, y.b, y.whole, t.b.o.Pacer)
 	return true
 }
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -18,6 +18,7 @@
 	AppAddr string
 	// LinkMbps is what this machine's link takes, 0 if not known.
 	LinkMbps float64
+	Pacer    *Pacer
 	Desk     *subscriber.Desk
 	Line     *AppLine
 	Note     func(f string, a ...any)
@@ -29,6 +30,7 @@
 	o       InboundOptions
 	Running atomic.Int64
 	leaving atomic.Bool
+	held    atomic.Int64
 	out     rate
 }
 
@@ -72,6 +74,7 @@
 	rank  int
 	due   time.Time
 	ctx   context.Context
+	free  func()
 	clean []func()
 }
 
@@ -92,14 +95,16 @@
 	return true
 }
 
-// fullLink is the share of its link, in percent, from which a node turns large
-// bodies away.
-const fullLink = 95
+// fullLink is how far behind its link a node may be before it turns large bodies
+// away: little while others may be free, more once they were asked.
+var fullLink = map[string]time.Duration{heavyShort: 80 * time.Millisecond, heavyLong: 800 * time.Millisecond}
 
-// link is how full this machine's link is, in percent.
+// link is how full this machine's link is, in percent; half a second behind is
+// full.
 func (n *Inbound) link() int {
+	now := time.Now()
 	if m := n.o.LinkMbps; m > 0 {
-		return int(100 * n.out.perS(time.Now()) * 8 / (m * 1e6))
+		return max(int(60*n.out.perS(now)*8/(m*1e6)), int(n.o.Pacer.behind(now)/(5*time.Millisecond)))
 	}
 	return 0
 }
@@ -149,14 +154,15 @@
 	if n, err := strconv.ParseInt(v.r.Header.Get(hdrWait), 10, 32); err == nil {
 		most = min(most, time.Duration(n)*time.Millisecond)
 	}
-	if v.r.Header.Get(hdrHeavy) != "" && v.n.link() > fullLink {
+	if h := v.r.Header.Get(hdrHeavy); h != "" && v.n.o.Pacer.behind(time.Now()) > fullLink[h] {
 		return v.say(sayBounced, "link")
 	}
 	free, why := v.n.o.Desk.Admit(v.ctx, v.life, subscriber.Place{Late: v.r.Header.Get(hdrLate) != "", Rank: v.rank, Due: v.due}, most)
 	if why != subscriber.None {
 		return v.say(sayBounced, string(why))
 	}
-	v.later(free)
+	v.free = sync.OnceFunc(free)
+	v.later(v.free)
 	return false
 }
 
@@ -204,8 +210,20 @@
 // note tells the desk whether the endpoint did what was asked of it.
 func (v *visit) note(good bool) { v.n.o.Desk.Judged(v.life, good) }
 
+// holdMost bounds the answers that a node holds whole for its link, so that the
+// endpoint's slot is free before they are on their way.
+const holdMost = 24 << 20
+
 func (v *visit) relay(p *http.Response, t0 time.Time) bool {
-	b, whole, err := head(p.Body, p.ContentLength, v.n.o.Peek)
+	n := v.n
+	peek := int64(n.o.Peek)
+	if p.ContentLength > peek && p.ContentLength < holdMost/4 {
+		if h := n.held.Add(p.ContentLength); h <= holdMost {
+			peek = p.ContentLength
+		}
+		v.later(func() { n.held.Add(-p.ContentLength) })
+	}
+	b, whole, err := head(p.Body, p.ContentLength, int(peek))
 	if err != nil && v.r.Method != http.MethodHead {
 		if v.ctx.Err() != nil {
 			return v.say(sayLate, "deadline")
@@ -215,14 +233,15 @@
 	}
 	v.note(p.StatusCode < 500)
 	if whole {
-		v.n.o.Desk.Answered(v.life, time.Since(t0))
+		n.o.Desk.Answered(v.life, time.Since(t0))
+		v.free()
 	}
-	v.n.out.add(max(p.ContentLength, int64(len(b)))+600, time.Now())
-	v.w.Header().Set(hdrLoad, v.n.loadText())
+	n.out.add(max(p.ContentLength, int64(len(b)))+600, time.Now())
+	v.w.Header().Set(hdrLoad, n.loadText())
 	begin(v.w, v.r.Method, p, b, whole)
-	finish(v.w, p, b, whole)
+	finish(v.w, p, b, whole, n.o.Pacer)
 	if !whole {
-		v.n.o.Desk.Answered(v.life, time.Since(t0))
+		n.o.Desk.Answered(v.life, time.Since(t0))
 	}
 	return true
 }
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -58,6 +58,7 @@
 	Line    http.RoundTripper
 	App     *AppLine
 	Budget  *Budget
+	Pacer   *Pacer
 	Cords   *cord.Cords
 	Tickets *ticket.Recorder
 	Ready   func() bool
--- /dev/null
+++ b/internal/switchboard/pacer_test.go
@@ -0,0 +1,56 @@
+package switchboard
+
+import (
+	"bytes"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+type stamped struct {
+	mu sync.Mutex
+	at []time.Duration
+	t0 time.Time
+	n  int
+}
+
+func (s *stamped) Write(b []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.n += len(b)
+	s.at = append(s.at, time.Since(s.t0))
+	return len(b), nil
+}
+
+func TestLargeBodiesKeepToTheLinkAndSmallOnesPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPacer(8)
+		big, small := &stamped{t0: time.Now()}, &stamped{t0: time.Now()}
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				p.write(big, make([]byte, 225_000))
+			}()
+		}
+		time.Sleep(100 * time.Millisecond)
+		qt.Assert(t, p.behind(time.Now()) > 0, qt.IsTrue)
+		for range 10 {
+			p.write(small, make([]byte, 500))
+		}
+		qt.Assert(t, small.at[9], qt.Equals, 100*time.Millisecond)
+		wg.Wait()
+		end := big.at[len(big.at)-1]
+		qt.Assert(t, end > 940*time.Millisecond && end < 1040*time.Millisecond, qt.IsTrue, qt.Commentf("900 kB at 0.91 of 1 MB/s took %v", end))
+		qt.Assert(t, big.n, qt.Equals, 900_000)
+	})
+	var none *Pacer
+	var b bytes.Buffer
+	qt.Assert(t, none.write(&b, make([]byte, 50_000)), qt.IsNil)
+	qt.Assert(t, b.Len(), qt.Equals, 50_000)
+	qt.Assert(t, NewPacer(0) == nil, qt.IsTrue)
+}
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -85,6 +85,7 @@
 	site  string
 	name  string
 	some  int
+	self  string
 	mu    sync.Mutex
 	all   map[string]*gauge
 	busy  map[string]*area
@@ -108,6 +109,13 @@
 	return p
 }
 
+// Beside tells which node this is: large bodies to or from the endpoint beside
+// it don't use the link.
+func (p *Pools) Beside(node string) *Pools {
+	p.self = node
+	return p
+}
+
 // subset takes n of the endpoints by rendezvous hashing, so that nodes spread
 // evenly and an endpoint that comes or goes moves few.
 func subset(name string, rs []*remote, n int) []*remote {
@@ -314,21 +322,28 @@
 			}
 		}
 	}
+	if w.heavy && p.self != "" {
+		for _, r := range y.home {
+			if r.node == p.self && !r.grey && r.open(now) && !w.had(r) && max(r.mine.Load(), r.load.Load()) < r.slots {
+				return r
+			}
+		}
+	}
 	best, score, spare := p.least(y.home, w, now, far, usual)
 	if best != nil && !w.wide {
-		limit := w.aim / 2
+		limit := w.aim * 4 / 5
 		if w.heavy {
 			limit = w.aim
 		}
-		keep := stay(best.busy.slots.get())
+		keep := stay(best.busy.slots.get(), best.slots)
 		if w.heavy {
-			keep = min(keep, stay(best.busy.links.get()+0.2))
+			keep = min(keep, stay(best.busy.links.get()+0.2, 6))
 		}
 		if score <= float64(limit) && p.draw() < keep {
 			return best
 		}
 	}
-	if best != nil && best.busy.slots.get() > 0.6 || w.heavy && best != nil && best.busy.links.get() > 0.4 {
+	if best != nil && (stay(best.busy.slots.get(), best.slots) < 1 || w.heavy && best.busy.links.get() > 0.4) {
 		far = 1 + (far-1)/4
 	}
 	if b, _, sp := p.least(y.all, w, now, far, usual); b != nil {
@@ -340,8 +355,11 @@
 }
 
 // stay is the share of requests that keep to a site whose endpoints are that
-// full.
-func stay(busy float64) float64 { return min(max((1.1-busy)/0.5, 0), 1) }
+// full. The more slots an endpoint has, the fuller it can be without a queue.
+func stay(busy float64, slots int64) float64 {
+	from := 1 - 1/math.Sqrt(float64(slots)+1)
+	return min(max((1.15-busy)/(1.15-from), 0), 1)
+}
 
 const (
 	fewEnough = 4
