--- a/internal/switchboard/course.go
+++ b/internal/switchboard/course.go
@@ -89,7 +89,7 @@
 			return r
 		}
 	}
-	r := c.pools.pick(want{service: c.to, heavy: c.heavy, pure: c.route.Kind.Repeatable(), aim: c.route.Target, tried: c.tried, wide: c.wide})
+	r := c.pools.pick(want{service: c.to, heavy: c.heavy, up: c.heavy && c.route.Kind != dialplan.Download, pure: c.route.Kind.Repeatable(), aim: c.route.Target, tried: c.tried, wide: c.wide})
 	if r != nil {
 		c.tried = append(c.tried, r)
 	}
--- a/internal/switchboard/pacer.go
+++ b/internal/switchboard/pacer.go
@@ -1,30 +1,63 @@
 package switchboard
 
 import (
+	"container/heap"
 	"io"
 	"sync"
 	"time"
 )
 
-// Pacer shares a machine's link: large bodies are written in pieces at a little
+// Pacer shares a machine's link: large bodies are written one after the other,
+// shorter ones first unless a longer one has waited, in pieces and at a little
 // less than the link's rate, so that small answers don't stand behind them.
 type Pacer struct {
-	perS float64
-	mu   sync.Mutex
-	next time.Time
+	perS  float64
+	t0    time.Time
+	mu    sync.Mutex
+	next  time.Time
+	busy  bool
+	queue bodies
+	bytes int
 }
 
 const (
 	paceShare = 0.91
 	piece     = 16 << 10
+	// ages is how much a waiting body gains on later ones, in shares of what the
+	// link carries meanwhile.
+	ages  = 0.5
+	stuck = 150 * time.Millisecond
 )
 
+type body struct {
+	key  float64
+	size int
+	ch   chan bool
+}
+
+type bodies []*body
+
+func (q bodies) Len() int           { return len(q) }
+func (q bodies) Less(i, j int) bool { return q[i].key < q[j].key }
+func (q bodies) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *bodies) Push(x any)        { *q = append(*q, x.(*body)) }
+func (q *bodies) Pop() any {
+	o := *q
+	x := o[len(o)-1]
+	*q = o[:len(o)-1]
+	return x
+}
+
 // NewPacer makes a pacer for a link, or none where its rate is not known.
 func NewPacer(mbps float64) *Pacer {
 	if mbps <= 0 {
 		return nil
 	}
-	return &Pacer{perS: mbps * 1e6 / 8 * paceShare}
+	return &Pacer{perS: mbps * 1e6 / 8 * paceShare, t0: time.Now()}
+}
+
+func (p *Pacer) takes(n int) time.Duration {
+	return time.Duration(float64(n) / p.perS * float64(time.Second))
 }
 
 // turn takes n bytes of the link and tells how long to wait for them.
@@ -35,7 +68,7 @@
 		p.next = now
 	}
 	w := p.next.Sub(now)
-	p.next = p.next.Add(time.Duration(float64(n) / p.perS * float64(time.Second)))
+	p.next = p.next.Add(p.takes(n))
 	return w
 }
 
@@ -46,7 +79,38 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return max(p.next.Sub(now), 0)
+	return max(p.next.Sub(now), 0) + p.takes(p.bytes)
+}
+
+// enter waits for a large body's place on the link; it is given up by calling
+// what comes back, or by itself where the other side takes nothing.
+func (p *Pacer) enter(n int) func() {
+	p.mu.Lock()
+	p.bytes += n
+	if p.busy {
+		b := &body{key: float64(n) + time.Since(p.t0).Seconds()*p.perS*ages, size: n, ch: make(chan bool)}
+		heap.Push(&p.queue, b)
+		p.mu.Unlock()
+		<-b.ch
+	} else {
+		p.busy = true
+		p.mu.Unlock()
+	}
+	leave := sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.bytes -= n
+		if len(p.queue) == 0 {
+			p.busy = false
+			return
+		}
+		close(heap.Pop(&p.queue).(*body).ch)
+	})
+	t := time.AfterFunc(2*p.takes(n)+stuck, leave)
+	return func() {
+		t.Stop()
+		leave()
+	}
 }
 
 // write writes b; a small one takes its share of the link and does not wait.
@@ -58,6 +122,7 @@
 		_, err := w.Write(b)
 		return err
 	}
+	defer p.enter(len(b))()
 	for len(b) > 0 {
 		n := min(len(b), piece)
 		if d := p.turn(n, time.Now()); d > 0 {
--- a/internal/switchboard/pacer_test.go
+++ b/internal/switchboard/pacer_test.go
@@ -48,6 +48,31 @@
 		qt.Assert(t, end > 940*time.Millisecond && end < 1040*time.Millisecond, qt.IsTrue, qt.Commentf("900 kB at 0.91 of 1 MB/s took %v", end))
 		qt.Assert(t, big.n, qt.Equals, 900_000)
 	})
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPacer(8)
+		first := p.enter(100_000)
+		var mu sync.Mutex
+		var order []int
+		var wg sync.WaitGroup
+		for _, n := range []int{300_000, 60_000, 90_000} {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				l := p.enter(n)
+				mu.Lock()
+				order = append(order, n)
+				mu.Unlock()
+				if n != 60_000 {
+					l()
+				}
+			}()
+			synctest.Wait()
+		}
+		first()
+		wg.Wait()
+		qt.Assert(t, order, qt.DeepEquals, []int{60_000, 90_000, 300_000}, qt.Commentf("one whose other side takes nothing must not hold the rest"))
+		qt.Assert(t, p.behind(time.Now()) >= 0 && p.bytes == 0, qt.IsTrue)
+	})
 	var none *Pacer
 	var b bytes.Buffer
 	qt.Assert(t, none.write(&b, make([]byte, 50_000)), qt.IsNil)
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -280,10 +280,13 @@
 type want struct {
 	service string
 	heavy   bool
-	pure    bool
-	aim     time.Duration
-	tried   []*remote
-	wide    bool
+	// up: the large body goes to the endpoint, so the link that carries it is
+	// this node's, whichever endpoint takes it.
+	up    bool
+	pure  bool
+	aim   time.Duration
+	tried []*remote
+	wide  bool
 }
 
 func (w want) had(r *remote) bool {
@@ -339,7 +342,7 @@
 		if w.heavy {
 			keep = min(keep, stay(best.busy.links.get()+0.2, 6))
 		}
-		if score <= float64(limit) && p.draw() < keep {
+		if w.up || score <= float64(limit) && p.draw() < keep {
 			return best
 		}
 	}
