--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -11,9 +11,10 @@
 )
 
 const (
-	keepMarks = 512
-	balances  = 256
-	eachS     = time.Second
+	keepMarks   = 512
+	keepConfigs = 16
+	balances    = 256
+	eachS       = time.Second
 )
 
 type viewAt struct {
@@ -100,7 +101,7 @@
 	at := r.now().UnixMicro()
 	r.configs = append(r.configs, configAt{at, stamp, doc})
 	n := 0
-	for n < len(r.configs)-1 && (len(r.configs)-n > keepMarks/8 || at-r.configs[n+1].at > r.span.Microseconds()) {
+	for n < len(r.configs)-1 && (len(r.configs)-n > keepConfigs || at-r.configs[n+1].at > r.span.Microseconds()) {
 		n++
 	}
 	if n > 0 {
