--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -270,8 +270,11 @@
 	c := &trunk.Carried{Views: []*trunk.View{v}, Nodes: []*trunk.TicketsResp{
 		{Node: "n1", Tickets: []*trunk.Ticket{ticket("p", 0, 2_000_000, &trunk.Dispatch{Endpoint: "e0", AtUs: 1000, TookUs: 300_000, Fate: "ran"}),
 			ticket("q", 0, 1_000_000, &trunk.Dispatch{Endpoint: "e0", AtUs: 1000, TookUs: 300_000, Fate: "ran"})}},
-		{Node: "n0", Tickets: []*trunk.Ticket{ticket("call", 100_000, 1_899_000), ticket("other", 100_000, 500_000)}},
+		{Node: "n0", Tickets: []*trunk.Ticket{ticket("call", 100_000, 1_893_000), ticket("other", 100_000, 500_000)}},
 	}}
+	for range 4 {
+		c.Nodes[1].Tickets = append(c.Nodes[1].Tickets, ticket("own", 100_000, 1_897_000))
+	}
 	ps := join(c, nodesOf(c))
 	qt.Assert(t, len(ps), qt.Equals, 1)
 	for k, p := range ps {
--- a/internal/replay/verdict.go
+++ b/internal/replay/verdict.go
@@ -324,6 +324,26 @@
 	return out
 }
 
+// firsthand tells which deadlines of a binding user agents ask with: those come
+// again and again, while a call has what is left of its parent's.
+func firsthand(c *trunk.Carried) func(*trunk.Ticket) bool {
+	type ask struct {
+		binding string
+		ms      int64
+	}
+	all, same := map[string]int{}, map[ask]int{}
+	for _, n := range c.Nodes {
+		for _, t := range n.Tickets {
+			all[t.Binding]++
+			same[ask{t.Binding, t.DeadlineUs / 1000}]++
+		}
+	}
+	return func(t *trunk.Ticket) bool {
+		n := same[ask{t.Binding, t.DeadlineUs / 1000}]
+		return n >= 3 && 10*n >= all[t.Binding]
+	}
+}
+
 // join finds the parent of each call that an endpoint made: the one request
 // that its endpoint was at work on then, and that ends with the same deadline.
 func join(c *trunk.Carried, nodeOf map[string]string) map[*trunk.Ticket]*trunk.Ticket {
@@ -342,18 +362,22 @@
 			}
 		}
 	}
-	const slack = int64(40 * time.Millisecond / time.Microsecond)
+	const slack = int64(25 * time.Millisecond / time.Microsecond)
+	own := firsthand(c)
 	out := map[*trunk.Ticket]*trunk.Ticket{}
 	for _, n := range c.Nodes {
 		ws := at[n.Node]
 		for _, t := range n.Tickets {
+			if own(t) {
+				continue
+			}
 			var found *trunk.Ticket
 			many := false
 			for _, w := range ws {
 				if w.t == t || t.AtUs < w.from || t.AtUs > w.to || t.DeadlineUs == 0 {
 					continue
 				}
-				if d := t.AtUs + t.DeadlineUs - w.due; d < -slack || d > slack {
+				if d := t.AtUs + t.DeadlineUs - w.due; d < -slack || d > slack/5 {
 					continue
 				}
 				many = many || found != nil && found != w.t
