--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -48,7 +48,7 @@
 	}
 	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Pools: pools, Plan: &plan, App: app,
-		Budget: budget, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: budget, Cords: cords, Tickets: tickets, Ready: ag.Ready, Alone: ag.Alone, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[1], out)
 	takeConfigs(ag, &plan, tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 	var leaving atomic.Bool
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -40,7 +40,7 @@
 // 503 and 429 promise that the request has not run and never will.
 var outcomes = map[outcome]row{
 	noRoute:     {code: http.StatusNotFound, text: "no binding"},
-	notReady:    {code: http.StatusServiceUnavailable, again: 500 * time.Millisecond, text: "not ready"},
+	notReady:    {code: http.StatusServiceUnavailable, again: 250 * time.Millisecond, text: "not ready"},
 	badRequest:  {code: http.StatusBadRequest, text: "malformed request"},
 	tooLarge:    {code: http.StatusRequestEntityTooLarge, text: "body too large"},
 	refused:     {code: http.StatusServiceUnavailable, again: 100 * time.Millisecond, text: "no endpoint can take this now; it has not run"},
@@ -62,11 +62,17 @@
 	Cords   *cord.Cords
 	Tickets *ticket.Recorder
 	Ready   func() bool
-	Note    func(f string, a ...any)
-	Peek    int
-	Margin  time.Duration
+	// Alone tells that no master has been heard of yet: all may be starting.
+	Alone  func() bool
+	Note   func(f string, a ...any)
+	Peek   int
+	Margin time.Duration
 }
 
+// coreStarts is how long the core takes to serve once all its processes have
+// ended at one moment.
+const coreStarts = 1200 * time.Millisecond
+
 type Outbound struct {
 	o       OutboundOptions
 	Running atomic.Int64
@@ -195,6 +201,9 @@
 func (t *trip) check() bool {
 	t.plan = t.b.o.Plan.Load()
 	if t.plan == nil || !t.b.o.Ready() {
+		if t.b.o.Alone != nil && t.b.o.Alone() {
+			t.wait = coreStarts
+		}
 		return t.answer(notReady)
 	}
 	if !strings.HasPrefix(t.r.RequestURI, "/") {
