Any master has the patches to a configuration; a leaving process refuses its last calls

Cause: a new master had no older configuration to compare with and sent 75 nodes the whole one; a first poll that was lost was tried again after 2.8 s.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -93,14 +93,12 @@
 	return u.States
 }
 
-func config(t exchange.Table) (uint64, []byte) {
-	if b := t.Blob(desk.ConfigBlob); b != nil {
-		c := &trunk.Config{}
-		if proto.Unmarshal(b.Data, c) == nil {
-			return c.Stamp, c.Packed
-		}
+func config(t exchange.Table) *trunk.Config {
+	c := &trunk.Config{}
+	if b := t.Blob(desk.ConfigBlob); b != nil && proto.Unmarshal(b.Data, c) != nil {
+		return &trunk.Config{}
 	}
-	return 0, nil
+	return c
 }
 
 func (c *coreNode) onOwner(i int, own bool, epoch uint64) {
@@ -115,11 +113,11 @@
 		return
 	}
 	t := c.board.Table(0)
-	st, doc := config(t)
-	c.conf = st
+	conf := config(t)
+	c.conf = conf.Stamp
 	u, r := users(t), c.board.Roll()
 	kept := keptView(t.Blob(viewBlob))
-	c.master.Loop.Put(func() { c.master.Lead(epoch, kept, u, st, doc, r) })
+	c.master.Loop.Put(func() { c.master.Lead(epoch, kept, u, conf, r) })
 }
 
 func (c *coreNode) onCommit(i int) {
@@ -129,9 +127,9 @@
 	}
 	t := c.board.Table(0)
 	if b := t.Blob(desk.ConfigBlob); b != nil && b.Stamp > c.conf {
-		st, doc := config(t)
-		c.conf = st
-		c.master.Loop.Put(func() { c.master.SetConfig(st, doc) })
+		conf := config(t)
+		c.conf = conf.Stamp
+		c.master.Loop.Put(func() { c.master.SetConfig(conf) })
 	}
 }
 
--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -17,6 +17,9 @@
 const (
 	blamesEach = 500 * time.Millisecond
 	nearOnes   = 24
+	// lastCalls is how long before its end a leaving process takes no more
+	// requests, where clients still come.
+	lastCalls = 1800 * time.Millisecond
 )
 
 // runEdge is the gateway: the outbound chain in front of endpoints that it
@@ -48,7 +51,7 @@
 	}
 	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Pools: pools, Plan: &plan, App: app,
-		Budget: budget, Cords: cords, Tickets: tickets, Ready: ag.Ready, Alone: ag.Alone, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: budget, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[1], out)
 	takeConfigs(ag, &plan, tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 	var leaving atomic.Bool
@@ -80,6 +83,9 @@
 	linger := min(grace/2, 3*time.Second)
 	for {
 		e := time.Since(t0)
+		if e > grace-lastCalls {
+			out.Close()
+		}
 		if e > grace-350*time.Millisecond || e > linger && out.Running.Load() == 0 {
 			break
 		}
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -118,7 +118,7 @@
 	}
 	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
-		Budget: budget, Pacer: pacer, Cords: cords, Tickets: tickets, Ready: ag.Ready, Alone: ag.Alone, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: budget, Pacer: pacer, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[2], out)
 	takeConfigs(ag, &plan, tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 
@@ -162,6 +162,9 @@
 			ag.Set(func(n *trunk.NodeState) { n.State = "stopping" })
 			in.Leave()
 		}
+		if e > grace-lastCalls {
+			out.Close()
+		}
 		if e > grace-350*time.Millisecond || e > linger && in.Running.Load() == 0 && out.Running.Load() == 0 {
 			break
 		}
--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -23,6 +23,7 @@
 	ConfigBlob = "configuration"
 	maxConfig  = 32 << 20
 	keepTaken  = 256
+	mostSteps  = 192 << 10
 )
 
 type Core struct {
@@ -319,6 +320,18 @@
 	})
 }
 
+// keepSteps bounds the patches kept beside a configuration, by which any master
+// brings nodes on from the ones before.
+func keepSteps(st []*trunk.Step) []*trunk.Step {
+	size := 0
+	for i := len(st) - 1; i >= 0; i-- {
+		if size += len(st[i].Patch); size > mostSteps || len(st)-i > 24 {
+			return append([]*trunk.Step(nil), st[i+1:]...)
+		}
+	}
+	return st
+}
+
 func (d *Core) change(w http.ResponseWriter, c call, read func([]byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error)) {
 	b, err := body(w, c.r, maxConfig)
 	if err != nil {
@@ -361,6 +374,11 @@
 		return
 	}
 	next := &trunk.Config{Stamp: stamp, Packed: trunk.Pack(doc.Write()), Taken: append(cur.Taken, &trunk.Taken{Stamp: stamp, Sum: sum[:]})}
+	if cur.Stamp > 0 {
+		if old, err := d.doc(cur); err == nil {
+			next.Steps = keepSteps(append(cur.Steps, &trunk.Step{Base: cur.Stamp, Stamp: stamp, Patch: trunk.Pack(doc.Since(old))}))
+		}
+	}
 	if n := len(next.Taken); n > keepTaken {
 		next.Taken = next.Taken[n-keepTaken:]
 	}
--- a/internal/dialplan/diff_test.go
+++ b/internal/dialplan/diff_test.go
@@ -32,14 +32,11 @@
 	}
 	for n := range 200 {
 		a, b := draw(n+1), draw(n+2)
-		base, p, err := Diff(a, b)
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, base, qt.Equals, uint64(n+1))
 		old, err := Read(a)
 		qt.Assert(t, err, qt.IsNil)
 		want, err := Read(b)
 		qt.Assert(t, err, qt.IsNil)
-		pt, err := ReadPatch(p)
+		pt, err := ReadPatch(want.Since(old))
 		qt.Assert(t, err, qt.IsNil)
 		got, err := old.With(pt)
 		qt.Assert(t, err, qt.IsNil)
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -213,13 +213,6 @@
 	return a.view != nil && a.conf > 0
 }
 
-// Alone tells that no master has polled this node since it started.
-func (a *Agent) Alone() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.polled < 0
-}
-
 // Last is the endpoint that the master knew beside this node before it started.
 func (a *Agent) Last() *trunk.Endpoint {
 	a.mu.Lock()
--- a/internal/supervisor/delta_test.go
+++ b/internal/supervisor/delta_test.go
@@ -91,15 +91,28 @@
 			return nil
 		}
 		s.m.lines.PutNode("a0", e)
+		last := &trunk.Config{Stamp: 3, Packed: trunk.Pack(config(3, 400, 2))}
 		s.do(func() {
-			s.m.Lead(1, nil, map[string]string{}, 3, trunk.Pack(config(3, 400, 1)), &trunk.Roll{Stamp: 1})
+			s.m.Lead(1, nil, map[string]string{}, last, &trunk.Roll{Stamp: 1})
 		})
 		s.hello()
 		pass(3 * time.Second)
 		qt.Assert(t, e.wholes, qt.Equals, 1)
 		whole := len(s.m.packed)
 		for i := range 5 {
-			s.do(func() { s.m.SetConfig(uint64(4+i), trunk.Pack(config(4+i, 400, 3+float64(i)))) })
+			old, err := dialplan.Read(config(3+i, 400, 2+float64(i)))
+			qt.Assert(t, err, qt.IsNil)
+			now, err := dialplan.Read(config(4+i, 400, 3+float64(i)))
+			qt.Assert(t, err, qt.IsNil)
+			last = &trunk.Config{Stamp: now.Stamp, Packed: trunk.Pack(now.Write()), Steps: append(last.Steps, &trunk.Step{Base: old.Stamp, Stamp: now.Stamp, Patch: trunk.Pack(now.Since(old))})}
+			if i == 4 {
+				// Another master, which has never led, knows the way from the control state.
+				s.do(s.m.Step)
+				s.m.conf, s.m.packed, s.m.steps = 0, nil, nil
+				s.do(func() { s.m.Lead(2, s.st.v, map[string]string{}, last, &trunk.Roll{Stamp: 1}) })
+			} else {
+				s.do(func() { s.m.SetConfig(last) })
+			}
 			pass(200 * time.Millisecond)
 		}
 		qt.Assert(t, e.wholes, qt.Equals, 1)
@@ -109,6 +122,7 @@
 		got := dialplan.Compile(doc).Find("a", "/p7/x")
 		qt.Assert(t, got.Timeout, qt.Equals, 7*time.Second)
 
+		pass(2 * time.Second)
 		n := len(e.views)
 		s.ns[3].agent.Set(func(n *trunk.NodeState) { n.Endpoint.State = "draining" })
 		pass(time.Second)
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -8,7 +8,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	"corkcove/internal/dialplan"
 	"corkcove/internal/exchange"
 	"corkcove/internal/trunk"
 )
@@ -66,25 +65,15 @@
 	making  bool
 
 	conf    uint64
-	doc     []byte
 	packed  []byte
-	steps   []step
+	steps   []*trunk.Step
 	sends   map[string]*courier
 	views   []*trunk.View
 	packs   map[uint64][]byte
 	packsOf uint64
 }
 
-// step is the deflated patch from one configuration to the next.
-type step struct {
-	from, to uint64
-	patch    []byte
-}
-
-const (
-	keepSteps = 24
-	keepViews = 8
-)
+const keepViews = 8
 
 // courier is what the master knows that one life of a node has.
 type courier struct {
@@ -116,12 +105,12 @@
 
 // Lead makes this process the master under the epoch of shard 0, which also
 // keeps the last view that was published.
-func (m *Master) Lead(epoch uint64, kept *trunk.View, users map[string]string, conf uint64, doc []byte, roll *trunk.Roll) {
+func (m *Master) Lead(epoch uint64, kept *trunk.View, users map[string]string, conf *trunk.Config, roll *trunk.Roll) {
 	now := m.o.Now()
 	if kept.GetStamp() > m.view.Stamp {
 		m.view = kept
 	}
-	m.note("master under epoch %d, view %d, configuration %d", epoch, m.view.Stamp, conf)
+	m.note("master under epoch %d, view %d, configuration %d", epoch, m.view.Stamp, conf.GetStamp())
 	m.paused = false
 	m.leading, m.epoch, m.since, m.made, m.changed = true, epoch, now, now, now
 	m.users, m.roll = users, roll
@@ -160,7 +149,7 @@
 		}
 	}
 	m.touch()
-	m.SetConfig(conf, doc)
+	m.SetConfig(conf)
 }
 
 func back(s string) string {
@@ -247,23 +236,10 @@
 	return out
 }
 
-// SetConfig hands a newly committed configuration, which comes packed, to all
-// nodes at once.
-func (m *Master) SetConfig(stamp uint64, packed []byte) {
-	if stamp > m.conf {
-		doc, err := trunk.Unpack(packed)
-		if err != nil {
-			m.note("configuration %d can't be unpacked: %v", stamp, err)
-			return
-		}
-		var st []step
-		if m.conf > 0 {
-			if from, p, err := dialplan.Diff(m.doc, doc); err == nil && from == m.conf {
-				st = append(m.steps, step{from, stamp, trunk.Pack(p)})
-				st = append([]step(nil), st[max(len(st)-keepSteps, 0):]...)
-			}
-		}
-		m.conf, m.doc, m.packed, m.steps = stamp, doc, packed, st
+// SetConfig hands a newly committed configuration to all nodes at once.
+func (m *Master) SetConfig(c *trunk.Config) {
+	if c.GetStamp() > m.conf {
+		m.conf, m.packed, m.steps = c.Stamp, c.Packed, c.Steps
 	}
 	if !m.leading {
 		return
@@ -278,9 +254,9 @@
 	var out [][]byte
 	size := 0
 	for _, s := range m.steps {
-		if s.from == from || out != nil {
-			out = append(out, s.patch)
-			size += len(s.patch)
+		if s.Base == from || out != nil {
+			out = append(out, s.Patch)
+			size += len(s.Patch)
 		}
 	}
 	if size > len(m.packed) {
@@ -353,8 +329,12 @@
 	last := m.hs[name].last
 	go func() {
 		for ctx.Err() == nil {
-			cx, cancel := context.WithTimeout(ctx, m.o.Linger+m.o.Grace)
-			r, err := c.Poll(cx, &trunk.PollReq{Epoch: ep, Life: life, Seq: seq, LingerMs: uint64(m.o.Linger / time.Millisecond), Name: name, Last: last})
+			linger := m.o.Linger
+			if seq == 0 {
+				linger = 0
+			}
+			cx, cancel := context.WithTimeout(ctx, linger+m.o.Grace)
+			r, err := c.Poll(cx, &trunk.PollReq{Epoch: ep, Life: life, Seq: seq, LingerMs: uint64(linger / time.Millisecond), Name: name, Last: last})
 			cancel()
 			if ctx.Err() != nil {
 				return
@@ -591,7 +571,7 @@
 	if c.cbusy || m.conf == 0 || c.conf >= m.conf || h.state.GetAddr() == "" || m.o.Now() < c.again {
 		return
 	}
-	if c.life == "" {
+	if c.life == "" && m.o.Now()-m.since < m.o.Grace/2 {
 		return
 	}
 	c.cbusy = true
@@ -605,8 +585,12 @@
 		q.Data = m.packed
 	}
 	n := m.lines.Node(h.state.Addr)
+	wait := m.o.Grace
+	if q.Base == 0 {
+		wait = 2 * time.Second
+	}
 	go func() {
-		r, err := trunk.Call(2*time.Second, n.Deliver, q)
+		r, err := trunk.Call(wait, n.Deliver, q)
 		m.Loop.Put(func() {
 			c.cbusy = false
 			if err != nil {
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -164,6 +164,10 @@
 	return s
 }
 
+func conf(stamp uint64, doc string) *trunk.Config {
+	return &trunk.Config{Stamp: stamp, Packed: trunk.Pack([]byte(doc))}
+}
+
 func (s *stage) do(f func()) {
 	exchange.Ask(s.m.Loop, func() bool { f(); return true })
 	synctest.Wait()
@@ -188,7 +192,7 @@
 		s := newStage(t, 4)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
-		s.do(func() { s.m.Lead(1, nil, map[string]string{}, 3, trunk.Pack([]byte("c")), &trunk.Roll{Stamp: 1}) })
+		s.do(func() { s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Roll{Stamp: 1}) })
 		s.hello()
 		pass(2 * time.Second)
 		qt.Assert(t, s.count(0), qt.Equals, 4)
@@ -210,7 +214,7 @@
 		s := newStage(t, 3)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
-		s.do(func() { s.m.Lead(1, nil, map[string]string{}, 3, trunk.Pack([]byte("c")), &trunk.Roll{Stamp: 1}) })
+		s.do(func() { s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Roll{Stamp: 1}) })
 		s.hello()
 		pass(2 * time.Second)
 		for _, f := range s.ns {
@@ -225,7 +229,7 @@
 		s.ns[0].mu.Lock()
 		s.sizes = nil
 		s.ns[0].mu.Unlock()
-		s.do(func() { s.m.Lead(2, kept, map[string]string{}, 5, trunk.Pack([]byte("d")), &trunk.Roll{Stamp: 1}) })
+		s.do(func() { s.m.Lead(2, kept, map[string]string{}, conf(5, "d"), &trunk.Roll{Stamp: 1}) })
 		s.hello()
 		pass(1500 * time.Millisecond)
 		for i, f := range s.ns {
@@ -244,7 +248,7 @@
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
 		kept := &trunk.View{Epoch: 1, Stamp: 9, NodeLines: []string{"n0 a0", "n1 a1", "n2 a2"}}
-		s.do(func() { s.m.Lead(2, kept, map[string]string{}, 5, trunk.Pack([]byte("d")), &trunk.Roll{Stamp: 1}) })
+		s.do(func() { s.m.Lead(2, kept, map[string]string{}, conf(5, "d"), &trunk.Roll{Stamp: 1}) })
 		pass(600 * time.Millisecond)
 		qt.Assert(t, s.st.v.Stamp > 9, qt.IsTrue)
 		qt.Assert(t, s.count(1), qt.Equals, 3)
@@ -285,7 +289,7 @@
 		held := true
 		s.do(func() {
 			s.m.o.Held = func() bool { return held }
-			s.m.Lead(1, nil, map[string]string{}, 3, trunk.Pack([]byte("c")), &trunk.Roll{Stamp: 1})
+			s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Roll{Stamp: 1})
 		})
 		s.hello()
 		pass(2 * time.Second)
@@ -302,7 +306,7 @@
 		s.do(func() {
 			_, ok := s.m.Hello(s.ns[0].agent.node)
 			qt.Check(t, ok, qt.IsFalse)
-			s.m.SetConfig(9, trunk.Pack([]byte("never")))
+			s.m.SetConfig(conf(9, "never"))
 		})
 		pass(time.Second)
 		qt.Assert(t, s.ns[0].confs, qt.DeepEquals, []uint64{3})
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -40,7 +40,7 @@
 // 503 and 429 promise that the request has not run and never will.
 var outcomes = map[outcome]row{
 	noRoute:     {code: http.StatusNotFound, text: "no binding"},
-	notReady:    {code: http.StatusServiceUnavailable, again: 250 * time.Millisecond, text: "not ready"},
+	notReady:    {code: http.StatusServiceUnavailable, again: 500 * time.Millisecond, text: "not ready"},
 	badRequest:  {code: http.StatusBadRequest, text: "malformed request"},
 	tooLarge:    {code: http.StatusRequestEntityTooLarge, text: "body too large"},
 	refused:     {code: http.StatusServiceUnavailable, again: 100 * time.Millisecond, text: "no endpoint can take this now; it has not run"},
@@ -62,21 +62,16 @@
 	Cords   *cord.Cords
 	Tickets *ticket.Recorder
 	Ready   func() bool
-	// Alone tells that no master has been heard of yet: all may be starting.
-	Alone  func() bool
-	Note   func(f string, a ...any)
-	Peek   int
-	Margin time.Duration
+	Note    func(f string, a ...any)
+	Peek    int
+	Margin  time.Duration
 }
 
-// coreStarts is how long the core takes to serve once all its processes have
-// ended at one moment.
-const coreStarts = 1200 * time.Millisecond
-
 type Outbound struct {
 	o       OutboundOptions
 	Running atomic.Int64
 	leaving atomic.Bool
+	closing atomic.Bool
 	Tally   [10]atomic.Int64
 	longest longest
 	Flows   *Flows
@@ -130,6 +125,10 @@
 // stay open, since closing one could cut a request that is under way on it.
 func (b *Outbound) Leave() { b.leaving.Store(true) }
 
+// Close refuses what comes from now on: it would not be answered before this
+// process ends.
+func (b *Outbound) Close() { b.closing.Store(true) }
+
 type trip struct {
 	b     *Outbound
 	w     http.ResponseWriter
@@ -199,11 +198,11 @@
 }
 
 func (t *trip) check() bool {
+	if t.b.closing.Load() {
+		return t.answer(notReady)
+	}
 	t.plan = t.b.o.Plan.Load()
 	if t.plan == nil || !t.b.o.Ready() {
-		if t.b.o.Alone != nil && t.b.o.Alone() {
-			t.wait = coreStarts
-		}
 		return t.answer(notReady)
 	}
 	if !strings.HasPrefix(t.r.RequestURI, "/") {
