--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -303,3 +303,16 @@
 		qt.Assert(t, p.Close, qt.Equals, close)
 	}
 }
+
+func TestLastCallsAreRefusedNotCut(t *testing.T) {
+	m := newMesh(t, 1)
+	m.out.Leave()
+	c, _, _, _ := m.ask(t, "POST", "/e/", "r1", "b")
+	qt.Assert(t, c, qt.Equals, 200)
+	m.out.Close()
+	c, _, h, err := m.ask(t, "POST", "/e/", "r2", "b")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c, qt.Equals, 503)
+	qt.Assert(t, h.Get("Retry-After"), qt.Not(qt.Equals), "")
+	qt.Assert(t, m.runs(), qt.Equals, int64(1))
+}
