--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -326,6 +326,7 @@
 	c := m.lines.Node(addr)
 	st := m.hs[name].state
 	life, seq := st.GetLife(), uint64(0)
+	late := 2 * m.spread()
 	last := m.hs[name].last
 	go func() {
 		for ctx.Err() == nil {
@@ -333,7 +334,7 @@
 			if seq == 0 {
 				linger = 0
 			}
-			cx, cancel := context.WithTimeout(ctx, linger+m.o.Grace)
+			cx, cancel := context.WithTimeout(ctx, linger+m.o.Grace+late)
 			r, err := c.Poll(cx, &trunk.PollReq{Epoch: ep, Life: life, Seq: seq, LingerMs: uint64(linger / time.Millisecond), Name: name, Last: last})
 			cancel()
 			if ctx.Err() != nil {
@@ -432,7 +433,7 @@
 // one and the states have settled.
 func (m *Master) Tick() {
 	now := m.o.Now()
-	if !m.leading || !m.sure() || m.making || now-m.since < m.o.Transition {
+	if !m.leading || !m.sure() || m.making || now-m.since < max(m.o.Transition, 2*m.spread()) {
 		return
 	}
 	for n, h := range m.hs {
@@ -442,7 +443,7 @@
 		m.judged = now
 		m.touch()
 	}
-	if now-m.made < max(m.o.Interval, time.Duration(len(m.hs))*m.o.PerNode) || now-m.changed < m.o.Settle {
+	if now-m.made < max(m.o.Interval, m.spread()) || now-m.changed < m.o.Settle {
 		return
 	}
 	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && m.view.Roll.GetStamp() == m.roll.GetStamp() && len(m.view.NodeLines) == len(m.hs) {
@@ -515,6 +516,10 @@
 	return c
 }
 
+// spread is how long a small core machine takes to call all nodes once. After a
+// takeover polls go first, then configurations, then the view.
+func (m *Master) spread() time.Duration { return time.Duration(len(m.hs)) * m.o.PerNode }
+
 // met notes what a node says it holds.
 func (m *Master) met(name string, n *trunk.NodeState) {
 	c := m.sends[name]
@@ -571,7 +576,7 @@
 	if c.cbusy || m.conf == 0 || c.conf >= m.conf || h.state.GetAddr() == "" || m.o.Now() < c.again {
 		return
 	}
-	if c.life == "" && m.o.Now()-m.since < m.o.Grace/2 {
+	if c.life == "" && m.o.Now()-m.since < m.o.Grace/2+3*m.spread() {
 		return
 	}
 	c.cbusy = true
