--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -523,6 +523,9 @@
 // met notes what a node says it holds.
 func (m *Master) met(name string, n *trunk.NodeState) {
 	c := m.sends[name]
+	if c != nil && c.life == "" {
+		c.life = n.Life
+	}
 	if c == nil || c.life != n.Life {
 		c = &courier{life: n.Life}
 		m.sends[name] = c
@@ -576,7 +579,12 @@
 	if c.cbusy || m.conf == 0 || c.conf >= m.conf || h.state.GetAddr() == "" || m.o.Now() < c.again {
 		return
 	}
-	if c.life == "" && m.o.Now()-m.since < m.o.Grace/2+3*m.spread() {
+	unheard := c.life == ""
+	wait := m.o.Grace/2 + 3*m.spread()
+	if len(m.steps) > 0 && !c.whole {
+		wait = m.spread()
+	}
+	if unheard && m.o.Now()-m.since < wait {
 		return
 	}
 	c.cbusy = true
@@ -586,11 +594,15 @@
 			q.Base = c.conf
 		}
 	}
+	if n := len(m.steps); unheard && c.conf == 0 && !c.whole && n > 0 {
+		// Most likely the node has the one before.
+		q.Base, q.Patches = m.steps[n-1].Base, [][]byte{m.steps[n-1].Patch}
+	}
 	if q.Base == 0 {
 		q.Data = m.packed
 	}
 	n := m.lines.Node(h.state.Addr)
-	wait := m.o.Grace
+	wait = m.o.Grace
 	if q.Base == 0 {
 		wait = 2 * time.Second
 	}
@@ -603,7 +615,7 @@
 				return
 			}
 			c.conf = max(c.conf, r.Stamp)
-			c.whole = !r.Ok
+			c.whole = !r.Ok && (r.Stamp == 0 || r.Stamp == q.Base || q.Base == 0)
 			if !r.Ok {
 				c.again = m.o.Now() + 50*time.Millisecond
 			}
