--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -63,8 +63,9 @@
 	if err != nil {
 		return err
 	}
+	data = trunk.Pack(data)
 	_, err = numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, bool) {
-		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: v.Stamp, Data: trunk.Pack(data)}}, true
+		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: v.Stamp, Data: data}}, true
 	})
 	return err
 }
@@ -93,14 +94,6 @@
 	return u.States
 }
 
-func config(t exchange.Table) *trunk.Config {
-	c := &trunk.Config{}
-	if b := t.Blob(desk.ConfigBlob); b != nil && proto.Unmarshal(b.Data, c) != nil {
-		return &trunk.Config{}
-	}
-	return c
-}
-
 func (c *coreNode) onOwner(i int, own bool, epoch uint64) {
 	if !own {
 		c.svc.Moved(i)
@@ -113,7 +106,7 @@
 		return
 	}
 	t := c.board.Table(0)
-	conf := config(t)
+	conf := desk.ReadConfig(t)
 	c.conf = conf.Stamp
 	u, r := users(t), c.board.Roll()
 	kept := keptView(t.Blob(viewBlob))
@@ -127,7 +120,7 @@
 	}
 	t := c.board.Table(0)
 	if b := t.Blob(desk.ConfigBlob); b != nil && b.Stamp > c.conf {
-		conf := config(t)
+		conf := desk.ReadConfig(t)
 		c.conf = conf.Stamp
 		c.master.Loop.Put(func() { c.master.SetConfig(conf) })
 	}
--- a/cmd/corkcove/pins.go
+++ b/cmd/corkcove/pins.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return &trunk.PinResp{}, nil
 	}
-	return &trunk.PinResp{Ok: true, Service: p.Service, Endpoint: p.Endpoint, Moved: p.Moved, Full: p.Full, Why: p.Why}, nil
+	return p.Resp(), nil
 }
 
 // pinAsker asks the core about sessions; it remembers who answered.
--- a/cmd/corkcove/tracing.go
+++ b/cmd/corkcove/tracing.go
@@ -81,7 +81,7 @@
 		r.Master = c.master.Leading() && c.board.Held()
 		v := c.master.View()
 		r.Epoch, r.View = v.Epoch, v.Stamp
-		r.Config, _ = c.master.Config()
+		r.Config = c.master.Config()
 		if r.Master {
 			r.Nodes = c.master.Nodes()
 			for _, e := range v.Endpoints {
--- a/internal/cord/cord_test.go
+++ b/internal/cord/cord_test.go
@@ -102,7 +102,7 @@
 	if ch != nil {
 		c.t.Apply(ch, 0)
 	}
-	return &trunk.PinResp{Ok: true, Service: p.Service, Endpoint: p.Endpoint, Moved: p.Moved, Full: p.Full, Why: p.Why}
+	return p.Resp()
 }
 
 type player struct {
--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -243,7 +243,7 @@
 
 // Configuration
 
-func ReadConfig(t *numbering.Table) *trunk.Config {
+func ReadConfig(t exchange.Table) *trunk.Config {
 	c := &trunk.Config{}
 	if b := t.Blob(ConfigBlob); b != nil {
 		if proto.Unmarshal(b.Data, c) != nil {
--- a/internal/dialplan/read.go
+++ b/internal/dialplan/read.go
@@ -37,6 +37,9 @@
 	return k, ok
 }
 
+// Heavy tells that bodies of the kind are large.
+func (k Kind) Heavy() bool { return k == Upload || k == Download }
+
 func (k Kind) Repeatable() bool { return k == Pure || k == Download }
 
 func (k Kind) String() string {
--- a/internal/hall/hall.go
+++ b/internal/hall/hall.go
@@ -192,7 +192,7 @@
 	if c != nil {
 		m.pins.Apply(c, time.Since(m.t0))
 	}
-	return &trunk.PinResp{Ok: true, Service: p.Service, Endpoint: p.Endpoint, Moved: p.Moved, Full: p.Full, Why: p.Why}, nil
+	return p.Resp(), nil
 }
 
 // Add starts a node beside e; it is in force with the next view.
--- a/internal/numbering/pins.go
+++ b/internal/numbering/pins.go
@@ -71,6 +71,11 @@
 	Full     bool
 }
 
+// Resp is how a node is told of it.
+func (p Pinned) Resp() *trunk.PinResp {
+	return &trunk.PinResp{Ok: true, Service: p.Service, Endpoint: p.Endpoint, Moved: p.Moved, Full: p.Full, Why: p.Why}
+}
+
 // Pin gives the instance of a session: the one it has in a service that its
 // binding may use, or the one wanted, if it has none or is to leave the one
 // that the asker found it at.
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -233,7 +233,7 @@
 				if ch != nil {
 					w.pins.Apply(ch, since())
 				}
-				return &trunk.PinResp{Ok: true, Service: p.Service, Endpoint: p.Endpoint, Moved: p.Moved, Full: p.Full, Why: p.Why}, nil
+				return p.Resp(), nil
 			}})
 		for i, v := range t.Views {
 			x := views[[2]uint64{v.Epoch, v.Stamp}]
@@ -382,7 +382,7 @@
 }
 
 func (x *ride) start() {
-	heavy := x.route.Kind == dialplan.Upload || x.route.Kind == dialplan.Download || x.t.Body > 16<<10
+	heavy := switchboard.Heavy(x.route.Kind, x.t.Body)
 	x.course = switchboard.NewCourse(x.n.pools, x.n.budget, x.route, x.f.Service, heavy)
 	x.course.Lead(func() string {
 		for _, d := range x.left {
@@ -427,7 +427,7 @@
 }
 
 func (x *ride) give(o switchboard.Answer) {
-	if x.only != "" && !x.course.MayRun() && o == switchboard.Refused && x.moves < 3 {
+	if x.only != "" && !x.course.MayRun() && o == switchboard.Refused && x.moves < switchboard.MoveTries {
 		if ok, _ := x.n.pools.Sits(x.f.Service, x.only); !ok {
 			x.moves++
 			if x.seat() {
@@ -553,7 +553,7 @@
 		}
 		w.at(end, func() {
 			w.free(p)
-			finish(Run{Endpoint: id, Service: x.f.Service, Fate: word(fate), fate: fate, code: code, Model: true, AtMs: (at - x.at) / 1000, TookMs: (end - at) / 1000})
+			finish(Run{Endpoint: id, Service: x.f.Service, Fate: fate.String(), fate: fate, code: code, Model: true, AtMs: (at - x.at) / 1000, TookMs: (end - at) / 1000})
 		})
 	}
 	if p.run < p.slots {
@@ -570,15 +570,13 @@
 			fate = switchboard.Turned
 		}
 		w.at(at+1000, func() {
-			finish(Run{Endpoint: id, Service: x.f.Service, Fate: word(fate), fate: fate, Model: true, AtMs: (at - x.at) / 1000, TookMs: 1})
+			finish(Run{Endpoint: id, Service: x.f.Service, Fate: fate.String(), fate: fate, Model: true, AtMs: (at - x.at) / 1000, TookMs: 1})
 		})
 		return
 	}
 	p.wait = append(p.wait, begin)
 }
 
-func word(f switchboard.Fate) string { return f.String() }
-
 func (w *world) free(p *place) {
 	p.run--
 	if len(p.wait) > 0 && p.run < p.slots {
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -265,8 +265,8 @@
 	return out
 }
 
-// Config is the configuration in force, packed.
-func (m *Master) Config() (uint64, []byte) { return m.conf, m.packed }
+// Config is the stamp of the configuration in force.
+func (m *Master) Config() uint64 { return m.conf }
 
 func (m *Master) View() *trunk.View { return m.view }
 
--- a/internal/switchboard/course.go
+++ b/internal/switchboard/course.go
@@ -209,13 +209,10 @@
 	NoRoute = noRoute
 	Refused = refused
 	Barred  = barred
-	Expired = expired
 )
 
 func (o outcome) Code() int { return outcomes[o].code }
 
-func (o outcome) Text() string { return outcomes[o].text }
-
 // Promises tells that the answer says the request has not run and never will.
 func Promises(code int) bool { return code == 503 || code == 429 || code == 408 || code == 421 }
 
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -44,7 +44,7 @@
 			return true
 		}
 		// The session's instance is leaving and has not run this request.
-		if t.only == "" || t.course.mayRun || t.started || n >= moveTries || o != refused {
+		if t.only == "" || t.course.mayRun || t.started || n >= MoveTries || o != refused {
 			return t.give(o)
 		}
 		if ok, _ := t.b.o.Pools.Sits(t.to, t.only); ok {
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -280,9 +280,11 @@
 	return false
 }
 
-// heavy tells that the bytes of this request or its answer are many.
+// Heavy tells that the bytes of a request or its answer are many.
+func Heavy(k dialplan.Kind, body int64) bool { return k.Heavy() || body > 16<<10 }
+
 func (t *trip) heavy() bool {
-	return t.route.Kind == dialplan.Upload || t.route.Kind == dialplan.Download || len(t.body) > 16<<10
+	return Heavy(t.route.Kind, int64(len(t.body)))
 }
 
 func (t *trip) give(o outcome) bool {
--- a/internal/switchboard/pacer.go
+++ b/internal/switchboard/pacer.go
@@ -30,9 +30,8 @@
 )
 
 type body struct {
-	key  float64
-	size int
-	ch   chan bool
+	key float64
+	ch  chan bool
 }
 
 type bodies []*body
@@ -88,7 +87,7 @@
 	p.mu.Lock()
 	p.bytes += n
 	if p.busy {
-		b := &body{key: float64(n) + time.Since(p.t0).Seconds()*p.perS*ages, size: n, ch: make(chan bool)}
+		b := &body{key: float64(n) + time.Since(p.t0).Seconds()*p.perS*ages, ch: make(chan bool)}
 		heap.Push(&p.queue, b)
 		p.mu.Unlock()
 		<-b.ch
--- a/internal/switchboard/plug.go
+++ b/internal/switchboard/plug.go
@@ -99,8 +99,8 @@
 	return t.seat()
 }
 
-// moveTries is how often one request may find its session moved.
-const moveTries = 3
+// MoveTries is how often one request may find its session moved.
+const MoveTries = 3
 
 func (t *trip) seat() bool {
 	allowed := t.plan.Allowed(t.route)
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -376,7 +376,7 @@
 	sums := make([]float64, len(rs))
 	sum := 0.0
 	for i, r := range rs {
-		if r.up && !r.grey && !r.drained.Load() && r.shunned.Load() <= now && !w.had(r) {
+		if r.open(now) && !r.grey && !w.had(r) {
 			c := float64(r.slots) / r.pay(usual, now)
 			if w.heavy {
 				k := r.strain(now)
@@ -532,12 +532,6 @@
 
 func (s Seat) ID() string { return s.r.id }
 
-func (s Seat) Node() string { return s.r.node }
-
-func (s Seat) Slots() int { return int(s.r.slots) }
-
-func (s Seat) Direct() bool { return s.r.direct() }
-
 func (s Seat) Begin() { s.r.mine.Add(1) }
 
 func (s Seat) End(load int, work time.Duration, now int64) {
