--- a/cmd/corkcove/pins.go
+++ b/cmd/corkcove/pins.go
@@ -22,7 +22,7 @@
 	p, err := c.svc.Pin(ctx, q)
 	if errors.Is(err, exchange.ErrElsewhere) {
 		a, _ := exchange.Ask(c.loop, func() string {
-			if m, ok := c.board.Owner(c.svc.Shard("pin " + q.Key)); ok && m.Id != c.board.Me().Id {
+			if m, ok := c.board.Owner(c.svc.PinShard(q.Key)); ok && m.Id != c.board.Me().Id {
 				return m.Addr
 			}
 			return ""
--- a/internal/erlang/erlang.go
+++ b/internal/erlang/erlang.go
@@ -12,6 +12,7 @@
 
 	"github.com/zeebo/errs"
 
+	"corkcove/internal/dialplan"
 	"corkcove/internal/switchboard"
 	"corkcove/internal/trunk"
 )
@@ -200,7 +201,7 @@
 			if !ok {
 				n = len(ls)
 				at[k] = n
-				ls = append(ls, line{origin: i, binding: f.Binding, kind: f.Kind, service: f.Service, heavy: f.Kind == "upload" || f.Kind == "download", aim: time.Duration(f.AimMs) * time.Millisecond})
+				ls = append(ls, line{origin: i, binding: f.Binding, kind: f.Kind, service: f.Service, heavy: heavy(f.Kind), aim: time.Duration(f.AimMs) * time.Millisecond})
 			}
 			ls[n].work += f.PerS * f.WorkMs
 			ls[n].rate += f.PerS
@@ -289,6 +290,11 @@
 	speed float64
 }
 
+func heavy(kind string) bool {
+	k, ok := dialplan.KindOf(kind)
+	return ok && k.Heavy()
+}
+
 func play(os []Origin, ls []line, es []*trunk.Endpoint, speed map[string]float64, o Options) (map[cell]float64, map[string]float64) {
 	rng := rand.New(rand.NewSource(o.Seed + 1))
 	now := 0.0
--- a/internal/numbering/pins.go
+++ b/internal/numbering/pins.go
@@ -115,6 +115,9 @@
 
 func (t *Table) Pins() int { return len(t.pins.by) }
 
+// PinShard is the shard that holds a session's pins.
+func (s *Service) PinShard(key string) int { return s.Shard("pin " + key) }
+
 func (s *Service) Pin(ctx context.Context, q *trunk.PinReq) (Pinned, error) {
-	return Run(ctx, s, s.Shard("pin "+q.Key), func(t *Table, now time.Duration) (*trunk.Change, Pinned) { return t.Pin(q, now) })
+	return Run(ctx, s, s.PinShard(q.Key), func(t *Table, now time.Duration) (*trunk.Change, Pinned) { return t.Pin(q, now) })
 }
