--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -9,7 +9,6 @@
 
 	"corkcove/internal/dialplan"
 	"corkcove/internal/options"
-	"corkcove/internal/supervisor"
 	"corkcove/internal/switchboard"
 	"corkcove/internal/trunk"
 )
@@ -35,32 +34,18 @@
 		ls[i] = l
 	}
 	bd := o.Terms.Bounds
-	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
 	pools := switchboard.NewPools(o.Self.SiteName, 2.2, 5).Prefer(o.Self.NodeName, nearOnes)
 	var plan atomic.Pointer[dialplan.Table]
-	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 2400 * time.Millisecond,
-		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
-	ag.Start(&trunk.NodeState{Name: o.Self.NodeName, Life: ag.Life, Addr: o.InnerAddr(), Site: o.Self.SiteName, State: "up"})
+	st := p.newStation(pools, &trunk.NodeState{})
+	ag := st.ag
 	app := switchboard.NewAppLine(trunk.Transport(300*time.Millisecond, 800*time.Millisecond, 6*time.Second, 4),
 		trunk.Transport(300*time.Millisecond, 800*time.Millisecond, time.Second, 1))
-	cords := p.newCords(lines, ag)
-	tickets := p.newTickets()
-	ag.OnView = func(v *trunk.View) {
-		pools.Set(v)
-		tickets.View(v)
-	}
-	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Pools: pools, Plan: &plan, App: app,
-		Budget: budget, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: st.budget, Cords: st.cords, Tickets: st.tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[1], out)
-	takeConfigs(ag, &plan, tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
+	takeConfigs(ag, &plan, st.tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 	var leaving atomic.Bool
-	mux := http.NewServeMux()
-	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(ag))
-	far, heavy := pools.Weights()
-	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{process: p, flows: out.Flows, far: far, heavy: heavy, cords: cords, config: ag.Config, tickets: tickets, near: nearOnes}))
-	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
-	go is.Serve(ls[0])
+	st.serve(ls[0], out.Flows, nearOnes)
 	rd := &http.Server{IdleTimeout: time.Minute, Handler: readiness(func() bool { return !leaving.Load() && ag.Ready() })}
 	go rd.Serve(ls[2])
 	ctx, stop := context.WithCancel(context.Background())
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -88,13 +88,10 @@
 		ls[i] = l
 	}
 	bd := o.Terms.Bounds
-	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
 	pools := switchboard.NewPools(o.Self.SiteName, 2.2, 5).Beside(o.Self.NodeName)
 	var plan atomic.Pointer[dialplan.Table]
-	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 2400 * time.Millisecond,
-		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
-	ag.Start(&trunk.NodeState{Name: o.Self.NodeName, Life: ag.Life, Addr: o.InnerAddr(), Inbound: o.Network.Listen.Inbound,
-		Site: o.Self.SiteName, Service: o.Self.ServiceName, State: "up"})
+	st := p.newStation(pools, &trunk.NodeState{Inbound: o.Network.Listen.Inbound, Service: o.Self.ServiceName})
+	ag := st.ag
 	sub := subscriber.New(subscriber.Options{Service: o.Self.ServiceName, Beat: options.Secs(o.Platform.BeatS), Missed: 3, Queue: 1.5,
 		Note: p.note("subscriber"), Changed: func(l subscriber.Life) {
 			ag.Set(func(n *trunk.NodeState) {
@@ -110,26 +107,14 @@
 		Peek: 64 << 10})
 	between := trunk.Transport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
 	between.ExpectContinueTimeout = time.Second
-	cords := p.newCords(lines, ag)
-	tickets := p.newTickets()
-	ag.OnView = func(v *trunk.View) {
-		pools.Set(v)
-		tickets.View(v)
-	}
-	budget := switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
-		Budget: budget, Pacer: pacer, Cords: cords, Tickets: tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: st.budget, Pacer: pacer, Cords: st.cords, Tickets: st.tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[2], out)
-	takeConfigs(ag, &plan, tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
+	takeConfigs(ag, &plan, st.tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 
 	go meet(o, ag, sub, &plan, app)
 	var leaving atomic.Bool
-	mux := http.NewServeMux()
-	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(ag))
-	far, heavy := pools.Weights()
-	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{process: p, flows: out.Flows, far: far, heavy: heavy, cords: cords, config: ag.Config, tickets: tickets}))
-	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
-	go is.Serve(ls[0])
+	st.serve(ls[0], out.Flows, 0)
 	ins := &http.Server{Handler: in, IdleTimeout: 2 * time.Minute}
 	go ins.Serve(ls[1])
 	rd := &http.Server{IdleTimeout: time.Minute, Handler: readiness(func() bool { return !leaving.Load() && ag.Ready() })}
--- /dev/null
+++ b/cmd/corkcove/station.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"corkcove/internal/cord"
+	"corkcove/internal/options"
+	"corkcove/internal/supervisor"
+	"corkcove/internal/switchboard"
+	"corkcove/internal/ticket"
+	"corkcove/internal/trunk"
+)
+
+// station is what each node that carries traffic has beside its chain.
+type station struct {
+	*process
+	pools   *switchboard.Pools
+	ag      *supervisor.Agent
+	cords   *cord.Cords
+	tickets *ticket.Recorder
+	budget  *switchboard.Budget
+}
+
+// newStation starts the node's side of the control; n tells what only this
+// role says of itself.
+func (p *process) newStation(pools *switchboard.Pools, n *trunk.NodeState) station {
+	o, bd := p.o, p.o.Terms.Bounds
+	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
+	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 2400 * time.Millisecond,
+		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
+	n.Name, n.Life, n.Addr, n.Site, n.State = o.Self.NodeName, ag.Life, o.InnerAddr(), o.Self.SiteName, "up"
+	ag.Start(n)
+	tickets := p.newTickets()
+	ag.OnView = func(v *trunk.View) {
+		pools.Set(v)
+		tickets.View(v)
+	}
+	return station{p, pools, ag, p.newCords(lines, ag), tickets,
+		switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)}
+}
+
+// serve answers the master and the tools.
+func (s station) serve(l net.Listener, flows *switchboard.Flows, near uint32) {
+	mux := http.NewServeMux()
+	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(s.ag))
+	far, heavy := s.pools.Weights()
+	mux.Handle(trunk.TracerPathPrefix, trunk.NewTracerServer(teller{process: s.process, flows: flows, far: far, heavy: heavy, cords: s.cords,
+		config: s.ag.Config, tickets: s.tickets, near: near}))
+	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
+	go is.Serve(l)
+}
