--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -239,7 +239,8 @@
 	c.master = supervisor.NewMaster(supervisor.Options{
 		Interval: 250 * time.Millisecond, PerNode: 4 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond, Linger: 2 * time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
-		Me: o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
+		Hot: supervisor.HotOptions{Share: o.Hot.Share, Most: o.Hot.Most, Width: o.Hot.Width, Fall: options.Secs(o.Hot.FallS)},
+		Me:  o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
 		Held: func() bool { return c.board.Held() },
 	}, exchange.NewLoop(), lines, c)
 	hist := options.Secs(o.Terms.Bounds.HistoryS)
--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -41,7 +41,7 @@
 	app := switchboard.NewAppLine(trunk.Transport(300*time.Millisecond, 800*time.Millisecond, 6*time.Second, 4),
 		trunk.Transport(300*time.Millisecond, 800*time.Millisecond, time.Second, 1))
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Pools: pools, Plan: &plan, App: app,
-		Budget: st.budget, Cords: st.cords, Tickets: st.tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: st.budget, Cords: st.cords, Tickets: st.tickets, Keys: st.keys, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[1], out)
 	takeConfigs(ag, &plan, st.tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 	var leaving atomic.Bool
@@ -51,6 +51,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go ag.Run(ctx, 120*time.Millisecond)
+	go st.tellKeys(ctx)
 	go func() {
 		t := time.NewTicker(blamesEach)
 		defer t.Stop()
--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -51,15 +51,31 @@
 	rps := rp.Command("save", "Take what all nodes remember into a file.")
 	rpsFile := rps.Arg("file", "The file.").Required().String()
 	rpsSpan := rps.Flag("span", "How far back.").Default("60s").Duration()
-	rpr := rp.Command("run", "Play a saved file under the old rules and under the new; exit code 1 if requests would be doubled, vanish or stall.")
+	rpsMost := rps.Flag("parallel", "How many nodes are asked at once.").Default("16").Int()
+	rpr := rp.Command("run", "Play a saved file under the old rules and under the new; exit code 1 if requests would be sent twice, dropped or left waiting.")
 	var ro replayOpts
 	rpr.Arg("file", "A file of replay save.").Required().StringVar(&ro.file)
 	rpr.Flag("config", "The new configuration, whole, as JSON.").StringVar(&ro.config)
 	rpr.Flag("options", "A settings file with the new termTable.boundSet.retryRatio, retrySlack and retryWindowS.").StringVar(&ro.opts)
 	rpr.Flag("seed", "Where chance begins.").Default("1").Uint64Var(&ro.seed)
 	rpr.Flag("most", "How many requests and moves are listed.").Default("40").IntVar(&ro.most)
-	rpr.Flag("off", "Share of the record that the old rules may fail to give back.").Default("0.02").Float64Var(&ro.off)
-	rpr.Flag("binding", "List only this binding.").StringVar(&ro.filter.Binding)
+	rpr.Flag("off", "Share of the record that the old rules may fail to give back.").Default("0.02").Float64Var(&ro.bars.Off)
+	rpr.Flag("coverage", "Share of what the nodes carried that the record must have.").Default("0.9").Float64Var(&ro.bars.Coverage)
+	rpr.Flag("by-node", "Tell flows apart by the node where they begin, not its zone.").BoolVar(&ro.bars.ByNode)
+	rpr.Flag("watch", "Flag the requests of this route too; may be repeated.").StringsVar(&ro.bars.Watch)
+	rpr.Flag("save", "Keep the forecast in a file for compare.").StringVar(&ro.save)
+	rpc := rp.Command("compare", "Hold a kept forecast against a record taken once the change is live; exit code 1 if a flow is not as foretold.")
+	var rc compareOpts
+	rpc.Arg("forecast", "A file of replay run --save.").Required().StringVar(&rc.forecast)
+	rpc.Arg("file", "A file of replay save, taken since.").Required().StringVar(&rc.file)
+	rpc.Flag("miss", "Chance that a right forecast is called wrong.").Default("0.01").Float64Var(&rc.bars.Miss)
+	rpc.Flag("slack", "What a share may be off beyond chance.").Default("0.03").Float64Var(&rc.bars.Slack)
+	rpc.Flag("least", "How many requests a flow needs on both sides.").Default("30").IntVar(&rc.bars.Least)
+	rpc.Flag("settle", "How long after a node took the change its requests begin to count.").Default("1s").DurationVar(&rc.bars.Settle)
+	rpc.Flag("coverage", "Share of what the nodes carried that the record must have.").Default("0.9").Float64Var(&rc.bars.Coverage)
+	rpc.Flag("any", "Compare even if another proposal than the one foretold is in force.").BoolVar(&rc.bars.Any)
+	rpc.Flag("most", "How many lines of each sort are shown.").Default("40").IntVar(&rc.most)
+	rpr.Flag("route", "List only this route.").StringVar(&ro.filter.Binding)
 	rpr.Flag("kind", "List only this kind.").EnumVar(&ro.filter.Kind, "", "pure", "effectful", "upload", "download")
 	rpr.Flag("node", "List only requests that began at this node.").StringVar(&ro.filter.Node)
 	rpr.Flag("verdict", "List only this verdict.").StringVar(&ro.filter.Verdict)
@@ -98,6 +114,12 @@
 			fmt.Fprintln(os.Stderr, "corkcove: "+err.Error())
 			os.Exit(1)
 		}
+	case rpc.FullCommand():
+		rc.json = *asJSON
+		if err := compareReplay(rc); err != nil {
+			fmt.Fprintln(os.Stderr, "corkcove: "+err.Error())
+			os.Exit(1)
+		}
 	default:
 		t, err := newTool(*file, *cores, *asJSON)
 		if err == nil {
@@ -109,7 +131,7 @@
 			case st.FullCommand():
 				err = t.setState(*stNode, *stState)
 			case rps.FullCommand():
-				err = t.saveReplay(*rpsFile, *rpsSpan)
+				err = t.saveReplay(*rpsFile, *rpsSpan, *rpsMost)
 			case sess.FullCommand():
 				err = t.sessions(*sessSince)
 			case ret.FullCommand():
--- a/cmd/corkcove/replaying.go
+++ b/cmd/corkcove/replaying.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"os"
 	"time"
@@ -15,8 +17,15 @@
 
 const ticketPage = 2000
 
-// saveReplay takes what all nodes remember of the last span into one file.
-func (t *tool) saveReplay(file string, span time.Duration) error {
+// saveReplay takes what all nodes remember of the last span into one file, node
+// by node as they answer.
+func (t *tool) saveReplay(file string, span time.Duration, most int) error {
+	if span <= 0 {
+		return fmt.Errorf("--span: %v must be above 0", span)
+	}
+	if most < 1 || most > 256 {
+		return fmt.Errorf("--parallel: %d must be from 1 to 256", most)
+	}
 	ss, err := t.status()
 	if err != nil {
 		return err
@@ -24,80 +33,110 @@
 	if !ss[0].Master {
 		return fmt.Errorf("there is no master now, so the nodes are not known")
 	}
-	c := &trunk.Carried{MadeUs: time.Now().UnixMicro(), SpanUs: span.Microseconds()}
-	rs, silent := each(ss, func(addr string) (*trunk.TicketsResp, error) { return t.tickets(addr, span) })
 	addr := map[string]string{}
 	for _, n := range ss[0].Nodes {
 		addr[n.Name] = n.Addr
 	}
-	type mark struct{ epoch, stamp uint64 }
-	views, configs := map[mark]bool{}, map[uint64]bool{}
-	for _, r := range rs {
-		c.Nodes = append(c.Nodes, r)
-		q := &trunk.PartsReq{}
-		for _, v := range r.Views {
-			if k := (mark{v.Epoch, v.Stamp}); !views[k] {
-				q.Views = append(q.Views, v)
-			}
-		}
-		for _, p := range r.Configs {
-			if !configs[p.Stamp] {
-				q.Configs = append(q.Configs, p.Stamp)
-			}
-		}
-		if len(q.Views)+len(q.Configs) == 0 {
-			continue
-		}
-		p, err := trunk.Call(toolWait, t.lines.Tracer(addr[r.Node]).Parts, q)
-		if err != nil {
-			continue
-		}
-		for _, v := range p.Views {
-			views[mark{v.Epoch, v.Stamp}] = true
-			c.Views = append(c.Views, v)
-		}
-		for _, d := range p.Configs {
-			configs[d.Stamp] = true
-			c.Configs = append(c.Configs, d)
-		}
-	}
-	c.Silent = silent
 	f, err := os.CreateTemp(dirOf(file), ".replay-*")
 	if err != nil {
 		return err
 	}
 	defer os.Remove(f.Name())
-	if err := replay.Write(f, c); err != nil {
-		f.Close()
+	defer f.Close()
+	out := bufio.NewWriterSize(f, 1<<20)
+	w, err := replay.NewWriter(out)
+	if err != nil {
 		return err
 	}
-	if err := f.Close(); err != nil {
+	s := saving{t: t, w: w, addr: addr, views: map[viewMark]bool{}, configs: map[uint64]bool{}}
+	silent := eachOf(ss, most, func(addr string) (*trunk.TicketsResp, error) { return t.tickets(addr, span) }, s.node)
+	if err := s.err; err != nil {
 		return err
 	}
-	if err := os.Rename(f.Name(), file); err != nil {
+	if err := w.Close(&trunk.Tail{MadeUs: time.Now().UnixMicro(), SpanUs: span.Microseconds(), Silent: silent}); err != nil {
 		return err
 	}
-	n, dropped := 0, uint64(0)
-	for _, r := range c.Nodes {
-		n += len(r.Tickets)
-		dropped += r.Dropped
+	if err := out.Flush(); err != nil {
+		return err
 	}
-	fmt.Printf("%d requests of %d nodes, %d views, %d configurations in %s\n", n, len(c.Nodes), len(c.Views), len(c.Configs), file)
-	if dropped > 0 {
-		fmt.Printf("%d requests had been dropped from full records (recordSet.requests)\n", dropped)
+	if err := f.Sync(); err != nil {
+		return err
 	}
-	for _, s := range silent {
-		fmt.Fprintf(stderr, "%s did not answer; its requests are missing\n", s)
+	if err := os.Rename(f.Name(), file); err != nil {
+		return err
+	}
+	fmt.Printf("%d requests of %d nodes, %d views, %d configurations in %s\n", s.requests, s.nodes, len(s.views), len(s.configs), file)
+	if s.lossy > 0 {
+		fmt.Printf("%d nodes' rings lost part of the span, %.1f s at most (recordSet.requests)\n", s.lossy, s.lost.Seconds())
+	}
+	for _, n := range silent {
+		fmt.Fprintf(stderr, "%s did not answer; its requests are missing\n", n)
 	}
 	if len(silent) > 0 {
 		return fmt.Errorf("%d nodes did not answer", len(silent))
 	}
-	if n == 0 {
+	if s.requests == 0 {
 		return fmt.Errorf("no node carried a request in the last %v, or none keeps a record", span)
 	}
 	return nil
 }
 
+type viewMark struct{ epoch, stamp uint64 }
+
+// saving writes nodes' records in the order that they come; one at a time.
+type saving struct {
+	t               *tool
+	w               *replay.Writer
+	addr            map[string]string
+	views           map[viewMark]bool
+	configs         map[uint64]bool
+	nodes, requests int
+	lossy           int
+	lost            time.Duration
+	err             error
+}
+
+func (s *saving) node(r *trunk.TicketsResp) {
+	if s.err != nil {
+		return
+	}
+	s.nodes++
+	s.requests += len(r.Tickets)
+	if r.LostUs > 0 {
+		s.lossy++
+		s.lost = max(s.lost, time.Duration(r.LostUs)*time.Microsecond)
+	}
+	if s.err = s.w.Node(r); s.err != nil {
+		return
+	}
+	q := &trunk.PartsReq{}
+	for _, v := range r.Views {
+		if !s.views[viewMark{v.Epoch, v.Stamp}] {
+			q.Views = append(q.Views, v)
+		}
+	}
+	for _, p := range r.Configs {
+		if !s.configs[p.Stamp] {
+			q.Configs = append(q.Configs, p.Stamp)
+		}
+	}
+	if len(q.Views)+len(q.Configs) == 0 {
+		return
+	}
+	p, err := trunk.Call(toolWait, s.t.lines.Tracer(s.addr[r.Node]).Parts, q)
+	if err != nil {
+		return
+	}
+	for _, v := range p.Views {
+		s.views[viewMark{v.Epoch, v.Stamp}] = true
+		s.err = errors.Join(s.err, s.w.View(v))
+	}
+	for _, d := range p.Configs {
+		s.configs[d.Stamp] = true
+		s.err = errors.Join(s.err, s.w.Config(d))
+	}
+}
+
 func dirOf(file string) string {
 	for i := len(file) - 1; i >= 0; i-- {
 		if file[i] == '/' {
@@ -131,7 +170,8 @@
 	file, config, opts string
 	seed               uint64
 	most               int
-	off                float64
+	bars               replay.Bars
+	save               string
 	filter             replay.Filter
 	json               bool
 }
@@ -162,21 +202,69 @@
 	if r.Plan == nil && r.Retries == nil {
 		return fmt.Errorf("nothing is to change: give --config, --options or both")
 	}
-	rep, err := replay.Play(c, r, o.off)
+	if b := o.bars; b.Off < 0 || b.Off > 1 || b.Coverage < 0 || b.Coverage > 1 {
+		return fmt.Errorf("--off and --coverage must be from 0 to 1")
+	}
+	rep, err := replay.Play(c, r, o.bars)
 	if err != nil {
 		return err
 	}
+	if o.save != "" {
+		if err := rep.Foretell(r, o.bars.ByNode, time.Now()).Save(o.save); err != nil {
+			return err
+		}
+	}
 	t := &tool{json: o.json}
 	t.print(rep, rep.Text(o.filter, o.most))
 	switch {
+	case rep.Control > o.bars.Off:
+		return fmt.Errorf("the old rules do not give back %.2f%% of the record, %.2f%% is allowed: don't decide on this", 100*rep.Control, 100*o.bars.Off)
 	case !rep.Fit:
-		return fmt.Errorf("the old rules do not give back %.2f%% of the record, %.2f%% is allowed: don't decide on this", 100*rep.Control, 100*o.off)
+		return fmt.Errorf("the record has %.1f%% of what the nodes carried, %.1f%% is needed: don't decide on this", 100*rep.Coverage, 100*o.bars.Coverage)
+	case len(rep.Flags) > 0:
+		return fmt.Errorf("%d purchases, payments, uploads or checks would be sent twice, dropped or left waiting that are not under the old rules", len(rep.Flags))
 	case rep.Grave() > 0:
 		return fmt.Errorf("%d requests would be doubled, vanish or stall that are not under the old rules", rep.Grave())
 	}
 	return nil
 }
 
+type compareOpts struct {
+	forecast, file string
+	bars           replay.CompareBars
+	most           int
+	json           bool
+}
+
+// compareReplay holds a kept forecast against a record taken once the change
+// is live.
+func compareReplay(o compareOpts) error {
+	if b := o.bars; b.Miss <= 0 || b.Miss >= 1 || b.Slack < 0 || b.Slack > 1 || b.Least < 1 || b.Settle < 0 || b.Coverage < 0 || b.Coverage > 1 {
+		return fmt.Errorf("--miss must lie between 0 and 1, --slack and --coverage from 0 to 1, --least must be 1 at least, --settle not below 0")
+	}
+	f, err := replay.ReadForecast(o.forecast)
+	if err != nil {
+		return err
+	}
+	c, err := replay.Read(o.file)
+	if err != nil {
+		return err
+	}
+	r, err := f.Compare(c, o.bars)
+	if err != nil {
+		return err
+	}
+	t := &tool{json: o.json}
+	t.print(r, r.Text(o.most))
+	switch {
+	case len(r.Outside) > 0:
+		return fmt.Errorf("%d of %d shares are not where they were foretold", len(r.Outside), r.Checked)
+	case len(r.Flows) == 0:
+		return fmt.Errorf("no flow has enough requests on both sides to tell")
+	}
+	return nil
+}
+
 func retriesOf(file string) (*replay.Retries, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
--- a/cmd/corkcove/sessions.go
+++ b/cmd/corkcove/sessions.go
@@ -162,41 +162,42 @@
 	return b.String()
 }
 
+const askAtOnce = 16
+
 // each calls all nodes that the master knows, and names those that are silent.
 func each[R any](ss []*trunk.StatusResp, call func(addr string) (R, error)) (out []R, silent []string) {
-	type got struct {
-		name string
-		r    R
-		err  error
-	}
+	silent = eachOf(ss, askAtOnce, call, func(r R) { out = append(out, r) })
+	return out, silent
+}
+
+// eachOf calls all nodes, most at once, and hands on each answer as it comes,
+// one at a time.
+func eachOf[R any](ss []*trunk.StatusResp, most int, call func(addr string) (R, error), got func(R)) (silent []string) {
 	var wg sync.WaitGroup
-	var nodes []*trunk.NodeLine
+	var mu sync.Mutex
+	sem := make(chan bool, most)
 	for _, n := range ss[0].Nodes {
-		if n.Addr != "" {
-			nodes = append(nodes, n)
+		if n.Addr == "" {
+			continue
 		}
-	}
-	gs := make([]got, len(nodes))
-	sem := make(chan bool, 16)
-	for i, n := range nodes {
 		wg.Add(1)
+		sem <- true
 		go func() {
 			defer wg.Done()
-			sem <- true
 			defer func() { <-sem }()
 			r, err := call(n.Addr)
-			gs[i] = got{n.Name, r, err}
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				silent = append(silent, n.Name)
+				return
+			}
+			got(r)
 		}()
 	}
 	wg.Wait()
-	for _, g := range gs {
-		if g.err != nil {
-			silent = append(silent, g.name)
-			continue
-		}
-		out = append(out, g.r)
-	}
-	return out, silent
+	slices.Sort(silent)
+	return silent
 }
 
 func (t *tool) sessions(since string) error {
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -108,7 +108,7 @@
 	between := trunk.Transport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
 	between.ExpectContinueTimeout = time.Second
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: o.Self.ServiceName, Pools: pools, Plan: &plan, Line: between,
-		Budget: st.budget, Pacer: pacer, Cords: st.cords, Tickets: st.tickets, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
+		Budget: st.budget, Pacer: pacer, Cords: st.cords, Tickets: st.tickets, Keys: st.keys, Ready: ag.Ready, Note: p.note("outbound"), Peek: 256 << 10, Margin: 3 * time.Millisecond})
 	fr := newFront(ls[2], out)
 	takeConfigs(ag, &plan, st.tickets, func(t *dialplan.Table) { fr.limit(t.Limits) })
 
@@ -124,6 +124,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	go ag.Run(ctx, 120*time.Millisecond)
+	go st.tellKeys(ctx)
 	go func() {
 		t := time.NewTicker(250 * time.Millisecond)
 		defer t.Stop()
--- a/cmd/corkcove/station.go
+++ b/cmd/corkcove/station.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -21,6 +22,7 @@
 	cords   *cord.Cords
 	tickets *ticket.Recorder
 	budget  *switchboard.Budget
+	keys    *switchboard.KeyMeter
 }
 
 // newStation starts the node's side of the control; n tells what only this
@@ -37,8 +39,40 @@
 		pools.Set(v)
 		tickets.View(v)
 	}
+	pools.SlowStart(options.Secs(o.Hot.SlowS))
 	return station{p, pools, ag, p.newCords(lines, ag), tickets,
-		switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now)}
+		switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now), switchboard.NewKeyMeter(time.Now)}
+}
+
+const keysEach = time.Second
+
+// tellKeys tells the master which keys this node reads most. New or more reads
+// go at once, fewer with the next poll. A node without such routes does nothing.
+func (s station) tellKeys(ctx context.Context) {
+	t := time.NewTicker(keysEach)
+	defer t.Stop()
+	was := map[uint64]float64{}
+	for {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		ks, same := s.keys.Rates()
+		if same {
+			continue
+		}
+		tell := s.ag.Murmur
+		now := map[uint64]float64{}
+		for _, k := range ks {
+			now[k.Key] = k.PerS
+			if k.PerS > 1.5*was[k.Key] {
+				tell = s.ag.Set
+			}
+		}
+		was = now
+		tell(func(n *trunk.NodeState) { n.Reads = ks })
+	}
 }
 
 // serve answers the master and the tools.
--- a/cmd/corkcove/tracing.go
+++ b/cmd/corkcove/tracing.go
@@ -84,6 +84,7 @@
 		r.Config = c.master.Config()
 		if r.Master {
 			r.Nodes = c.master.Nodes()
+			r.Hot, r.HotCounts = c.master.Hot()
 			for _, e := range v.Endpoints {
 				if e.Node == "" {
 					r.Listed++
--- a/internal/dialplan/diff.go
+++ b/internal/dialplan/diff.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
 
 	"github.com/go-faster/jx"
 )
@@ -47,3 +51,23 @@
 	e.ObjEnd()
 	return append([]byte(nil), e.Bytes()...)
 }
+
+// Sum tells configurations apart by their content, whatever their stamp and the
+// order of their entries.
+func (c Doc) Sum() string {
+	var all [][]byte
+	for _, it := range c.Items {
+		var b bytes.Buffer
+		if json.Compact(&b, it.Raw) != nil {
+			b.Write(it.Raw)
+		}
+		all = append(all, b.Bytes())
+	}
+	slices.SortFunc(all, bytes.Compare)
+	h := sha256.New()
+	for _, b := range all {
+		h.Write(b)
+		h.Write([]byte{'\n'})
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
--- a/internal/dialplan/read.go
+++ b/internal/dialplan/read.go
@@ -68,6 +68,85 @@
 	Split       []Share
 	Policy      *Policy
 	Pin         PinKey
+	Key         KeyAt
+}
+
+// KeyAt tells where the key of a route's reads stands; none if In is empty.
+type KeyAt struct {
+	In   string
+	Name string
+	Part int
+}
+
+const (
+	InPath   = "path"
+	InQuery  = "query"
+	InHeader = "header"
+	mostPart = 32
+)
+
+func (k KeyAt) String() string {
+	switch k.In {
+	case "":
+		return ""
+	case InPath:
+		return k.In + " " + strconv.Itoa(k.Part)
+	}
+	return k.In + " " + k.Name
+}
+
+// ParseKeyAt reads "path N" (the Nth segment after the route's prefix, from 1),
+// "query NAME" or "header NAME".
+func ParseKeyAt(s string) (KeyAt, error) {
+	if s == "" {
+		return KeyAt{}, nil
+	}
+	in, name, _ := strings.Cut(s, " ")
+	switch in {
+	case InPath:
+		if n, err := strconv.Atoi(name); err == nil && n >= 1 && n <= mostPart {
+			return KeyAt{In: in, Part: n}, nil
+		}
+	case InQuery:
+		if name != "" && strings.IndexFunc(name, func(c rune) bool { return c <= ' ' || c > '~' || strings.ContainsRune("&=#?%+", c) }) < 0 {
+			return KeyAt{In: in, Name: name}, nil
+		}
+	case InHeader:
+		if token(name) {
+			return KeyAt{In: in, Name: textproto.CanonicalMIMEHeaderKey(name)}, nil
+		}
+	}
+	return KeyAt{}, fmt.Errorf("%q is no \"path N\", \"query NAME\" or \"header NAME\" (N from 1 to %d)", s, mostPart)
+}
+
+// Of takes the key out of a request; path is the raw path, which begins with
+// the route's prefix. None is "".
+func (k KeyAt) Of(prefix, path, query string, header func(string) string) string {
+	switch k.In {
+	case InPath:
+		rest := strings.TrimPrefix(path, prefix)
+		for i := 1; ; i++ {
+			part, after, more := strings.Cut(rest, "/")
+			if i == k.Part {
+				return part
+			}
+			if !more {
+				return ""
+			}
+			rest = after
+		}
+	case InQuery:
+		for query != "" {
+			var kv string
+			kv, query, _ = strings.Cut(query, "&")
+			if n, v, _ := strings.Cut(kv, "="); n == k.Name {
+				return v
+			}
+		}
+	case InHeader:
+		return header(k.Name)
+	}
+	return ""
 }
 
 // PinKey tells where a binding's session key stands; none if Name is empty.
@@ -259,6 +338,14 @@
 				k, err := ParsePin(s)
 				b.Pin = k
 				return err
+			case "hotKey":
+				var s string
+				if err := text(d, &s); err != nil {
+					return err
+				}
+				k, err := ParseKeyAt(s)
+				b.Key = k
+				return err
 			case "weightedSplit":
 				return d.Arr(func(d *jx.Decoder) error {
 					var s Share
--- a/internal/hall/hall.go
+++ b/internal/hall/hall.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -20,6 +21,7 @@
 	"corkcove/internal/dialplan"
 	"corkcove/internal/numbering"
 	"corkcove/internal/subscriber"
+	"corkcove/internal/supervisor"
 	"corkcove/internal/switchboard"
 	"corkcove/internal/ticket"
 	"corkcove/internal/trunk"
@@ -79,8 +81,8 @@
 
 // Ran is one run at an endpoint.
 type Ran struct {
-	Request, Session, Endpoint string
-	From, To                   time.Time
+	Request, Session, Endpoint, Path string
+	From, To                         time.Time
 }
 
 // Endpoint works on each request for a while, then answers, or breaks off.
@@ -126,7 +128,7 @@
 		t0 := time.Now()
 		time.Sleep(e.Work(r))
 		e.mu.Lock()
-		e.log = append(e.log, Ran{id, r.Header.Get("X-Session"), e.ID, t0, time.Now()})
+		e.log = append(e.log, Ran{id, r.Header.Get("X-Session"), e.ID, r.URL.Path, t0, time.Now()})
 		e.mu.Unlock()
 		if e.Breaks != nil && e.Breaks(r) {
 			return
@@ -148,6 +150,7 @@
 	Plan    atomic.Pointer[dialplan.Table]
 	End     *Endpoint
 	Desk    *subscriber.Desk
+	Keys    *switchboard.KeyMeter
 	site    string
 }
 
@@ -163,6 +166,53 @@
 	view   *trunk.View
 	seq    uint64
 	ids    atomic.Int64
+	states map[string]string
+	hots   *supervisor.HotKeys
+	hot    []*trunk.HotKey
+	ho     supervisor.HotOptions
+}
+
+// Watch lets the mesh set widths for hot keys every quarter of a second, as a
+// master does, from what the nodes say each half second; it ends with the
+// context. Widths gives each view's to seen.
+func (m *Mesh) Watch(ctx context.Context, o supervisor.HotOptions, seen func([]*trunk.HotKey)) {
+	m.mu.Lock()
+	m.ho, m.hots = o, supervisor.NewHotKeys(o)
+	m.mu.Unlock()
+	said := map[string][]*trunk.KeyRate{}
+	for i := 0; ctx.Err() == nil; i++ {
+		time.Sleep(250 * time.Millisecond)
+		m.mu.Lock()
+		if i%2 == 0 {
+			for _, n := range m.Nodes {
+				said[n.Name], _ = n.Keys.Rates()
+			}
+		}
+		hot, steps := m.hots.Judge(maps.Values(said), m.view.Endpoints, time.Since(m.t0), time.Now().UnixMicro())
+		m.hot = hot
+		m.mu.Unlock()
+		if len(steps) > 0 {
+			m.Publish(m.states)
+			if seen != nil {
+				seen(hot)
+			}
+		}
+	}
+}
+
+// TakeOver stands in for a new master: it knows the last view and nothing else.
+func (m *Mesh) TakeOver() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hots = supervisor.NewHotKeys(m.ho)
+	m.hots.Load(m.view.Hot, time.Since(m.t0))
+}
+
+// Hot gives the view's hot keys.
+func (m *Mesh) Hot() []*trunk.HotKey {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view.Hot
 }
 
 const (
@@ -203,7 +253,8 @@
 	n.Desk.Beat(subscriber.Beat{ID: e.ID, Slots: e.Slots, State: "ready", Seq: 1})
 	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: "app-" + e.ID, Desk: n.Desk, Line: switchboard.NewAppLine(m.Wires.Line(), m.Wires.Line()), Peek: 64 << 10})
 	go (&http.Server{Handler: in}).Serve(m.Wires.Listen("in-" + e.ID))
-	n.Pools = switchboard.NewPools(e.Site, 2.2, 5)
+	n.Pools = switchboard.NewPools(e.Site, 2.2, 5).SlowStart(time.Second)
+	n.Keys = switchboard.NewKeyMeter(time.Now)
 	n.Tickets = ticket.New(1<<16, time.Hour, time.Now)
 	conf := func() uint64 {
 		if p := n.Plan.Load(); p != nil {
@@ -214,7 +265,7 @@
 	n.Cords = cord.New(cord.Options{Ask: m.Ask, Now: time.Now, Config: conf, Settle: 300 * time.Millisecond, Touch: time.Minute, Idle: 10 * time.Minute, Most: 1 << 16})
 	bud := switchboard.NewBudget(Ratio, Slack, Window, n.Pools.Nodes, func() time.Duration { return time.Since(m.t0) + time.Hour })
 	out := switchboard.NewOutbound(switchboard.OutboundOptions{Service: e.Service, Pools: n.Pools, Plan: &n.Plan, Line: m.Wires.Line(), Budget: bud, Cords: n.Cords,
-		Tickets: n.Tickets, Ready: func() bool { return true }, Note: func(string, ...any) {}, Peek: 64 << 10})
+		Tickets: n.Tickets, Keys: n.Keys, Ready: func() bool { return true }, Note: func(string, ...any) {}, Peek: 64 << 10})
 	go (&http.Server{Handler: out}).Serve(m.Wires.Listen("out-" + e.ID))
 	m.mu.Lock()
 	m.Nodes = append(m.Nodes, n)
@@ -231,8 +282,11 @@
 
 // Publish brings a view to all nodes; states tells of endpoints that are not up.
 func (m *Mesh) Publish(states map[string]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.seq++
-	v := &trunk.View{Epoch: 1, Stamp: m.seq, Nodes: uint32(len(m.Nodes))}
+	m.states = states
+	v := &trunk.View{Epoch: 1, Stamp: m.seq, Nodes: uint32(len(m.Nodes)), Hot: m.hot}
 	for _, n := range m.Nodes {
 		s := "up"
 		if x, ok := states[n.End.ID]; ok {
@@ -251,6 +305,9 @@
 	}
 }
 
+// Retire takes the endpoint out of the view.
+func (m *Mesh) Retire(id string) { m.Publish(map[string]string{id: "gone"}) }
+
 // Push brings a configuration to all nodes.
 func (m *Mesh) Push(d dialplan.Doc) {
 	for _, n := range m.Nodes {
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -125,7 +125,19 @@
 	SpanS    float64 `toml:"spanS"`
 }
 
+// Hot bounds the keys whose reads are spread, and how far.
+type Hot struct {
+	// Share is the part of one endpoint's slots that a key's reads may fill
+	// before they go to another one too.
+	Share float64 `toml:"share"`
+	Most  int     `toml:"most"`
+	Width int     `toml:"mostWidth"`
+	FallS float64 `toml:"fallS"`
+	SlowS float64 `toml:"slowStartS"`
+}
+
 type Options struct {
+	Hot      Hot      `toml:"hotSet"`
 	Pins     Pins     `toml:"pinSet"`
 	Record   Record   `toml:"recordSet"`
 	Self     Self     `toml:"self"`
@@ -157,6 +169,7 @@
 func Parse(b []byte, role string) (Options, error) {
 	o := Options{
 		Pins:     Pins{IdleS: 600, Most: 100000},
+		Hot:      Hot{Share: 0.4, Most: 64, Width: 32, FallS: 5, SlowS: 2},
 		Record:   Record{Requests: 4096, SpanS: 120},
 		Platform: Platform{BeatS: 1.5, Discovery: FromBeats, Entry: ByMachine, Cloud: CloudAPI{RatePerS: 10, MaxLagS: 1}},
 		Terms: Terms{Bounds: Bounds{
@@ -260,6 +273,16 @@
 	pos("pinSet.idleS", o.Pins.IdleS)
 	pos("pinSet.most", float64(o.Pins.Most))
 	pos("recordSet.spanS", o.Record.SpanS)
+	span := func(name string, x, from, to float64) {
+		if !(x >= from && x <= to) {
+			bad = append(bad, fmt.Sprintf("%s: %v must be from %v to %v", name, x, from, to))
+		}
+	}
+	span("hotSet.share", o.Hot.Share, 0.05, 1)
+	span("hotSet.most", float64(o.Hot.Most), 0, 1024)
+	span("hotSet.mostWidth", float64(o.Hot.Width), 1, 1024)
+	span("hotSet.fallS", o.Hot.FallS, 0.5, 600)
+	span("hotSet.slowStartS", o.Hot.SlowS, 0, 60)
 	if o.Record.Requests < 0 {
 		bad = append(bad, fmt.Sprintf("recordSet.requests: %d must not be below 0 (0 keeps no record)", o.Record.Requests))
 	}
--- a/internal/replay/file.go
+++ b/internal/replay/file.go
@@ -4,8 +4,12 @@
 package replay
 
 import (
+	"bufio"
 	"bytes"
 	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	gohash "hash"
 	"io"
 	"os"
 
@@ -18,67 +22,193 @@
 var Error = errs.Class("replay")
 
 const (
-	magic   = "corkcove replay 1\n"
-	version = 1
+	magic   = "corkcove replay 2\n"
+	version = 2
 )
 
-// Write puts the magic line, the checksum of the rest, and the packed content.
-func Write(w io.Writer, c *trunk.Carried) error {
-	c.Version = version
-	b, err := proto.Marshal(c)
+// The parts of a file: a kind, a length, the packed message. The tail comes
+// last, with the checksum of all before it.
+const (
+	partNode byte = iota + 1
+	partView
+	partConfig
+	partTail
+)
+
+const mostPart = 256 << 20
+
+// Writer writes a record part by part, so that no more than one node's need be
+// in memory.
+type Writer struct {
+	w       io.Writer
+	sum     gohash.Hash
+	nodes   uint32
+	tickets uint64
+}
+
+func NewWriter(w io.Writer) (*Writer, error) {
+	x := &Writer{w: w, sum: sha256.New()}
+	return x, x.put([]byte(magic))
+}
+
+func (w *Writer) put(b []byte) error {
+	w.sum.Write(b)
+	_, err := w.w.Write(b)
+	return Error.Wrap(err)
+}
+
+func (w *Writer) part(kind byte, m proto.Message) error {
+	b, err := proto.Marshal(m)
 	if err != nil {
 		return Error.Wrap(err)
 	}
 	p := trunk.Pack(b)
-	sum := sha256.Sum256(p)
-	for _, x := range [][]byte{[]byte(magic), sum[:], p} {
-		if _, err := w.Write(x); err != nil {
-			return Error.Wrap(err)
-		}
+	if err := w.put(binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(p)))); err != nil {
+		return err
+	}
+	return w.put(p)
+}
+
+func (w *Writer) Node(n *trunk.TicketsResp) error {
+	w.nodes++
+	w.tickets += uint64(len(n.Tickets))
+	return w.part(partNode, n)
+}
+
+func (w *Writer) View(v *trunk.View) error { return w.part(partView, v) }
+
+func (w *Writer) Config(d *trunk.ConfigDoc) error { return w.part(partConfig, d) }
+
+// Close writes the tail; a file without one is cut short.
+func (w *Writer) Close(t *trunk.Tail) error {
+	t.Nodes, t.Tickets = w.nodes, w.tickets
+	if err := w.part(partTail, t); err != nil {
+		return err
+	}
+	_, err := w.w.Write(w.sum.Sum(nil))
+	return Error.Wrap(err)
+}
+
+// Write writes a whole record.
+func Write(w io.Writer, c *trunk.Carried) error {
+	x, err := NewWriter(w)
+	if err != nil {
+		return err
+	}
+	for _, n := range c.Nodes {
+		err = errors.Join(err, x.Node(n))
 	}
-	return nil
+	for _, v := range c.Views {
+		err = errors.Join(err, x.View(v))
+	}
+	for _, d := range c.Configs {
+		err = errors.Join(err, x.Config(d))
+	}
+	return errors.Join(err, x.Close(&trunk.Tail{MadeUs: c.MadeUs, SpanUs: c.SpanUs, Silent: c.Silent}))
 }
 
-func Parse(b []byte) (*trunk.Carried, error) {
-	rest, ok := bytes.CutPrefix(b, []byte(magic))
+var errCut = Error.New("the file is cut short")
+
+func cut(err error) error {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return errCut
+	}
+	return Error.Wrap(err)
+}
+
+// ReadFrom reads a record part by part.
+func ReadFrom(r io.Reader) (*trunk.Carried, error) {
+	sum := sha256.New()
+	in := io.TeeReader(r, sum)
+	head := make([]byte, len(magic))
+	n, err := io.ReadFull(in, head)
 	switch {
-	case !ok && bytes.HasPrefix(b, []byte("corkcove replay ")):
-		return nil, Error.New("the file is of another version of corkcove's record")
-	case !ok && bytes.HasPrefix([]byte(magic), b):
-		return nil, Error.New("the file is cut short")
-	case !ok:
+	case err != nil && bytes.HasPrefix([]byte(magic), head[:n]):
+		return nil, errCut
+	case !bytes.HasPrefix(head, []byte("corkcove replay ")):
 		return nil, Error.New("this is no file of `corkcove replay save`")
-	case len(rest) < sha256.Size:
-		return nil, Error.New("the file is cut short")
+	case string(head) != magic:
+		return nil, Error.New("the file is of another version of corkcove's record")
 	}
-	if sum := sha256.Sum256(rest[sha256.Size:]); !bytes.Equal(sum[:], rest[:sha256.Size]) {
-		return nil, Error.New("the file is cut short or changed: its checksum is wrong")
+	c := &trunk.Carried{Version: version}
+	t := &trunk.Tail{}
+	for kind := byte(0); kind != partTail; {
+		if kind, err = readPart(in, c, t); err != nil {
+			return nil, err
+		}
 	}
-	x, err := trunk.Unpack(rest[sha256.Size:])
-	if err != nil {
-		return nil, Error.Wrap(err)
+	want := sum.Sum(nil)
+	got := make([]byte, sha256.Size)
+	if _, err := io.ReadFull(r, got); err != nil {
+		return nil, cut(err)
 	}
-	c := &trunk.Carried{}
-	if err := proto.Unmarshal(x, c); err != nil {
-		return nil, Error.Wrap(err)
+	if !bytes.Equal(want, got) {
+		return nil, Error.New("the file was changed: its checksum is wrong")
 	}
-	if c.Version != version {
-		return nil, Error.New("version %d is not known", c.Version)
+	tickets := uint64(0)
+	for _, x := range c.Nodes {
+		tickets += uint64(len(x.Tickets))
 	}
-	n := 0
-	for _, r := range c.Nodes {
-		n += len(r.Tickets)
+	if uint32(len(c.Nodes)) != t.Nodes || tickets != t.Tickets {
+		return nil, Error.New("the file was changed: it has %d nodes and %d requests where its tail names %d and %d", len(c.Nodes), tickets, t.Nodes, t.Tickets)
 	}
-	if n == 0 {
+	c.MadeUs, c.SpanUs, c.Silent = t.MadeUs, t.SpanUs, t.Silent
+	if tickets == 0 {
 		return nil, Error.New("the record is empty: no node carried a request in its span, or none keeps a record")
 	}
 	return c, nil
 }
 
+func readPart(in io.Reader, c *trunk.Carried, t *trunk.Tail) (byte, error) {
+	var h [5]byte
+	if _, err := io.ReadFull(in, h[:]); err != nil {
+		return 0, cut(err)
+	}
+	size := binary.BigEndian.Uint32(h[1:])
+	if size > mostPart {
+		return 0, Error.New("the file was changed: a part of %d bytes", size)
+	}
+	var p bytes.Buffer
+	if _, err := io.CopyN(&p, in, int64(size)); err != nil {
+		return 0, cut(err)
+	}
+	b, err := trunk.Unpack(p.Bytes())
+	if err != nil {
+		return 0, Error.New("the file was changed: a part can't be unpacked: %v", err)
+	}
+	var m proto.Message
+	switch h[0] {
+	case partNode:
+		x := &trunk.TicketsResp{}
+		c.Nodes, m = append(c.Nodes, x), x
+	case partView:
+		x := &trunk.View{}
+		c.Views, m = append(c.Views, x), x
+	case partConfig:
+		x := &trunk.ConfigDoc{}
+		c.Configs, m = append(c.Configs, x), x
+	case partTail:
+		m = t
+	default:
+		return 0, Error.New("the file was changed: a part of kind %d", h[0])
+	}
+	if err := proto.Unmarshal(b, m); err != nil {
+		return 0, Error.New("the file was changed: %v", err)
+	}
+	return h[0], nil
+}
+
+func Parse(b []byte) (*trunk.Carried, error) { return ReadFrom(bytes.NewReader(b)) }
+
 func Read(path string) (*trunk.Carried, error) {
-	b, err := os.ReadFile(path)
+	f, err := os.Open(path)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return Parse(b)
+	defer f.Close()
+	c, err := ReadFrom(bufio.NewReaderSize(f, 1<<20))
+	if err != nil {
+		return nil, Error.New("%s: %v", path, errs.Unwrap(err))
+	}
+	return c, nil
 }
--- /dev/null
+++ b/internal/replay/forecast.go
@@ -0,0 +1,340 @@
+package replay
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"corkcove/internal/dialplan"
+	"corkcove/internal/trunk"
+)
+
+const forecastVersion = 1
+
+// Forecast is what a rehearsal foretells of a proposal, kept until it is live.
+type Forecast struct {
+	Version  int       `json:"corkcoveForecast"`
+	Made     time.Time `json:"made"`
+	Stamp    uint64    `json:"configuration"`
+	Sum      string    `json:"configurationSum"`
+	Retries  *Retries  `json:"retries,omitempty"`
+	ByNode   bool      `json:"byNode"`
+	Control  float64   `json:"controlOff"`
+	Coverage float64   `json:"coverage"`
+	Flags    int       `json:"flags"`
+	Flows    []Foretold
+}
+
+type Foretold struct {
+	Flow
+	Shares *Shares `json:"shares"`
+}
+
+// Foretell keeps what a report says of the flows under the proposal.
+func (r *Report) Foretell(rules Rules, byNode bool, now time.Time) Forecast {
+	f := Forecast{Version: forecastVersion, Made: now.UTC(), Retries: rules.Retries, ByNode: byNode, Control: r.Control, Coverage: r.Coverage, Flags: len(r.Flags)}
+	if rules.Plan != nil {
+		f.Stamp, f.Sum = rules.Plan.Stamp, rules.Plan.Sum()
+	}
+	for _, s := range r.Shifts {
+		f.Flows = append(f.Flows, Foretold{s.Flow, s.New})
+	}
+	return f
+}
+
+func (f Forecast) Save(path string) error {
+	b, err := json.MarshalIndent(f, "", " ")
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(os.WriteFile(path, append(b, '\n'), 0o644))
+}
+
+func ReadForecast(path string) (f Forecast, err error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return f, Error.Wrap(err)
+	}
+	if err := json.Unmarshal(b, &f); err != nil {
+		return f, Error.New("%s: cut short, or no forecast of `corkcove replay run --save`: %v", path, err)
+	}
+	switch {
+	case f.Version == 0:
+		return f, Error.New("%s: this is no forecast of `corkcove replay run --save`", path)
+	case f.Version != forecastVersion:
+		return f, Error.New("%s: a forecast of version %d, which is not known", path, f.Version)
+	case len(f.Flows) == 0:
+		return f, Error.New("%s: the forecast has no flows", path)
+	}
+	for _, x := range f.Flows {
+		if x.Shares == nil {
+			return f, Error.New("%s: the flow %s has no shares", path, x.Flow)
+		}
+	}
+	return f, nil
+}
+
+// Outside is one share that is not where it was foretold to be.
+type Outside struct {
+	Flow
+	What     string  `json:"what"`
+	Value    string  `json:"value"`
+	Foretold float64 `json:"foretold"`
+	Actual   float64 `json:"actual"`
+	From     float64 `json:"from"`
+	To       float64 `json:"to"`
+}
+
+// Compared is a forecast beside what happened.
+type Compared struct {
+	Flows    []ComparedFlow `json:"flows"`
+	Checked  int            `json:"sharesChecked"`
+	Outside  []Outside      `json:"outside"`
+	Unseen   []Flow         `json:"notSeen"`
+	New      []Flow         `json:"notForetold"`
+	Few      []Flow         `json:"tooFew"`
+	Requests int            `json:"requests"`
+	Before   int            `json:"underOtherConfigurations"`
+	Z        float64        `json:"z"`
+	Lost     float64        `json:"coverage"`
+}
+
+type ComparedFlow struct {
+	Flow
+	Foretold *Shares `json:"foretold"`
+	Actual   *Shares `json:"actual"`
+	Outside  int     `json:"outside"`
+}
+
+// CompareBars bound a comparison: Miss is the chance that any flow of a right
+// forecast is called outside, Slack what the model may be off beyond chance,
+// Least how many requests a flow must have on both sides, Settle how long after
+// a node took the configuration its requests begin to count.
+type CompareBars struct {
+	Miss     float64
+	Slack    float64
+	Least    int
+	Settle   time.Duration
+	Any      bool
+	Coverage float64
+}
+
+// Happened gathers how the flows of a record were carried under one
+// configuration.
+func Happened(c *trunk.Carried, stamp uint64, byNode bool, settle time.Duration) (map[Flow]*Shares, int) {
+	a := atlasOf(c)
+	out := map[Flow]*Shares{}
+	other := 0
+	fl := &flows{byNode: byNode}
+	for _, n := range c.Nodes {
+		from := int64(0)
+		for _, p := range n.Configs {
+			if p.Stamp == stamp {
+				from = p.AtUs + settle.Microseconds()
+			}
+		}
+		for _, t := range n.Tickets {
+			if t.Config != stamp || t.AtUs < from {
+				other++
+				continue
+			}
+			if t.Code == 0 {
+				continue
+			}
+			k := Flow{cmp.Or(t.Binding, "(none)"), t.Kind, fl.origin(n)}
+			if out[k] == nil {
+				out[k] = newShares()
+			}
+			out[k].add(a.carried(t, n.Site), t.AtUs/blockUs)
+		}
+	}
+	for _, s := range out {
+		s.clump()
+	}
+	return out, other
+}
+
+// Matches tells whether the record was taken under the forecast's proposal.
+func (f Forecast) Matches(c *trunk.Carried) error {
+	if f.Retries != nil {
+		for _, n := range c.Nodes {
+			if n.Ratio != f.Retries.Ratio || n.Slack != f.Retries.Slack || n.WindowS != f.Retries.Window.Seconds() {
+				return Error.New("%s runs under retryRatio %v, retrySlack %v, retryWindowS %v; the forecast is of %v, %v, %v", n.Node, n.Ratio, n.Slack, n.WindowS,
+					f.Retries.Ratio, f.Retries.Slack, f.Retries.Window.Seconds())
+			}
+		}
+	}
+	if f.Sum == "" {
+		return nil
+	}
+	var had []string
+	for _, d := range c.Configs {
+		b, err := trunk.Unpack(d.Packed)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		x, err := dialplan.Read(b)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if d.Stamp == f.Stamp {
+			if x.Sum() == f.Sum {
+				return nil
+			}
+			return Error.New("the forecast is of another proposal than the %s that is in force: their contents differ", dialplan.FormatStamp(f.Stamp))
+		}
+		had = append(had, dialplan.FormatStamp(d.Stamp))
+	}
+	return Error.New("the forecast is of %s, which was not in force while the record was taken (%s)", dialplan.FormatStamp(f.Stamp), strings.Join(had, ", "))
+}
+
+// newest gives the newest configuration of a record.
+func newest(c *trunk.Carried) uint64 {
+	s := uint64(0)
+	for _, d := range c.Configs {
+		s = max(s, d.Stamp)
+	}
+	return s
+}
+
+// Compare holds a forecast against a record that was taken once the change was
+// live.
+func (f Forecast) Compare(c *trunk.Carried, b CompareBars) (*Compared, error) {
+	if err := f.Matches(c); err != nil && !b.Any {
+		return nil, err
+	}
+	stamp := f.Stamp
+	if stamp == 0 || b.Any {
+		stamp = newest(c)
+	}
+	live, other := Happened(c, stamp, f.ByNode, b.Settle)
+	out := &Compared{Flows: []ComparedFlow{}, Outside: []Outside{}, Unseen: []Flow{}, New: []Flow{}, Few: []Flow{}, Before: other}
+	r := &Report{}
+	r.coverage(c)
+	out.Lost = r.Coverage
+	if r.Coverage < b.Coverage {
+		return nil, Error.New("the record has only %.1f%% of what the nodes carried, %.1f%% is needed", 100*r.Coverage, 100*b.Coverage)
+	}
+	type share struct {
+		what string
+		of   func(*Shares) map[string]int
+	}
+	all := []share{{"service", func(s *Shares) map[string]int { return s.Service }}, {"node", func(s *Shares) map[string]int { return s.Node }},
+		{"path", func(s *Shares) map[string]int { return s.Path }}, {"attempts", func(s *Shares) map[string]int { return s.Attempts }}}
+	for _, s := range live {
+		out.Requests += s.Requests
+	}
+	if out.Requests == 0 {
+		return nil, Error.New("the record has no request that was carried under %s", dialplan.FormatStamp(stamp))
+	}
+	known := map[Flow]bool{}
+	type pair struct {
+		Foretold
+		got *Shares
+	}
+	var ps []pair
+	for _, x := range f.Flows {
+		known[x.Flow] = true
+		got := live[x.Flow]
+		switch {
+		case got == nil:
+			out.Unseen = append(out.Unseen, x.Flow)
+		case min(got.Requests, x.Shares.Requests) < b.Least:
+			out.Few = append(out.Few, x.Flow)
+		default:
+			ps = append(ps, pair{x, got})
+			for _, s := range all {
+				out.Checked += len(union(s.of(x.Shares), s.of(got)))
+			}
+		}
+	}
+	for k := range live {
+		if !known[k] {
+			out.New = append(out.New, k)
+		}
+	}
+	slices.SortFunc(out.New, Flow.compare)
+	out.Z = math.Sqrt2 * math.Erfinv(1-b.Miss/float64(max(out.Checked, 1)))
+	for _, p := range ps {
+		cf := ComparedFlow{Flow: p.Flow, Foretold: p.Shares, Actual: p.got}
+		for _, s := range all {
+			m, g := s.of(p.Shares), s.of(p.got)
+			for _, v := range union(m, g) {
+				from, to := within(m[v], p.Shares.Requests, p.got.Requests, p.Shares.Clump, p.got.Clump, out.Z, b.Slack)
+				x := float64(g[v]) / float64(p.got.Requests)
+				if x < from || x > to {
+					out.Outside = append(out.Outside, Outside{p.Flow, s.what, v, float64(m[v]) / float64(p.Shares.Requests), x, from, to})
+					cf.Outside++
+				}
+			}
+		}
+		out.Flows = append(out.Flows, cf)
+	}
+	return out, nil
+}
+
+func union(a, b map[string]int) []string {
+	m := map[string]bool{}
+	for k := range a {
+		m[k] = true
+	}
+	for k := range b {
+		m[k] = true
+	}
+	return slices.Sorted(maps.Keys(m))
+}
+
+// within is where the share of a second sample of m requests should lie, after k
+// of a first of n had the property: both samples vary, each the more the more
+// its requests come in clumps.
+func within(k, n, m int, clumpN, clumpM, z, slack float64) (from, to float64) {
+	p := (float64(k) + 1) / (float64(n) + 2)
+	d := z*math.Sqrt(p*(1-p)*(max(clumpN, 1)/float64(n)+max(clumpM, 1)/float64(m))) + slack
+	at := float64(k) / float64(n)
+	return max(at-d, 0), min(at+d, 1)
+}
+
+func (c *Compared) Text(most int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d requests under the change, %d under others or too early; coverage %.1f%%\n", c.Requests, c.Before, 100*c.Lost)
+	fmt.Fprintf(&b, "%d flows, %d shares compared, each within %.1f standard errors of both samples\n\n", len(c.Flows), c.Checked, c.Z)
+	fmt.Fprintf(&b, "%-20s %-10s %-26s %9s %9s %8s  %s\n", "route", "kind", "from", "foretold", "carried", "outside", "service, foretold -> carried")
+	for i, f := range c.Flows {
+		if i == most {
+			fmt.Fprintf(&b, "and %d more flows\n", len(c.Flows)-i)
+			break
+		}
+		fmt.Fprintf(&b, "%-20s %-10s %-26s %9d %9d %8d  %s -> %s\n", f.Route, f.Kind, f.Origin, f.Foretold.Requests, f.Actual.Requests, f.Outside,
+			sharesText(f.Foretold.Service, f.Foretold.Requests), sharesText(f.Actual.Service, f.Actual.Requests))
+	}
+	for i, o := range c.Outside {
+		if i == 0 {
+			b.WriteString("\n")
+		}
+		if i == most {
+			fmt.Fprintf(&b, "and %d more outside\n", len(c.Outside)-i)
+			break
+		}
+		fmt.Fprintf(&b, "OUTSIDE %s: %s %s was foretold for %.1f%%, carried %.1f%% (should lie between %.1f%% and %.1f%%)\n", o.Flow, o.What, o.Value, 100*o.Foretold, 100*o.Actual,
+			100*o.From, 100*o.To)
+	}
+	for _, x := range []struct {
+		word string
+		fs   []Flow
+	}{{"not seen since", c.Unseen}, {"not foretold", c.New}, {"too few requests to tell", c.Few}} {
+		for i, f := range x.fs {
+			if i == most {
+				fmt.Fprintf(&b, "%s: and %d more flows\n", x.word, len(x.fs)-i)
+				break
+			}
+			fmt.Fprintf(&b, "%s: %s\n", x.word, f)
+		}
+	}
+	return b.String()
+}
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -28,6 +28,8 @@
 {"variant":"serviceList","metadata":{"name":"desk"},"specification":{"soundnessPath":"/h"}},
 {"variant":"serviceList","metadata":{"name":"seats"},"specification":{"soundnessPath":"/h"}}]}`
 
+var bars = Bars{Off: 0.02, Coverage: 0.9}
+
 func doc(t *testing.T, stamp int, edits ...string) dialplan.Doc {
 	t.Helper()
 	s := fmt.Sprintf(rules, stamp)
@@ -110,7 +112,7 @@
 
 func play(t *testing.T, c *trunk.Carried, d dialplan.Doc) *Report {
 	t.Helper()
-	r, err := Play(c, Rules{Plan: &d, Seed: 1}, 0.02)
+	r, err := Play(c, Rules{Plan: &d, Seed: 1}, bars)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, r.Fit, qt.IsTrue, qt.Commentf("control is off by %v", r.Control))
 	return r
@@ -206,7 +208,7 @@
 func TestFewerRetriesAreForetold(t *testing.T) {
 	c := record(t, everyTenth("/map/"), 300)
 	hit := tickets(c, func(x *trunk.Ticket) bool { return x.Binding == "map" && unsure(x) && x.Code == 200 })
-	r, err := Play(c, Rules{Retries: &Retries{Window: time.Second}, Seed: 1}, 0.02)
+	r, err := Play(c, Rules{Retries: &Retries{Window: time.Second}, Seed: 1}, bars)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, with(r, Misplaced), qt.DeepEquals, hit)
 }
@@ -289,11 +291,14 @@
 	whole := b.Bytes()
 	changed := slices.Clone(whole)
 	changed[len(changed)-3] ^= 1
+	inside := slices.Clone(whole)
+	inside[len(inside)/2] ^= 1
 	var empty bytes.Buffer
 	Write(&empty, &trunk.Carried{})
 	for want, in := range map[string][]byte{
 		"cut short":       whole[:len(whole)/2],
 		"checksum":        changed,
+		"was changed":     inside,
 		"no file":         []byte("PK\x03\x04 something"),
 		"another version": []byte("corkcove replay 9\nxx"),
 		"empty":           empty.Bytes(),
@@ -301,7 +306,7 @@
 		_, err := Parse(in)
 		qt.Assert(t, err, qt.ErrorMatches, ".*"+want+".*")
 	}
-	for i := range len(magic) + 40 {
+	for i := range len(whole) {
 		_, err := Parse(whole[:i])
 		qt.Assert(t, err, qt.IsNotNil)
 	}
--- a/internal/replay/verdict.go
+++ b/internal/replay/verdict.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"corkcove/internal/dialplan"
 	"corkcove/internal/switchboard"
 	"corkcove/internal/trunk"
 )
@@ -79,6 +78,19 @@
 	Moves      []SessionMove  `json:"sessionMoves"`
 	Joined     int            `json:"callsWithParent"`
 	FromModel  int            `json:"fromModel"`
+	Shifts     []Shift        `json:"shifts"`
+	Flags      []Flag         `json:"flags"`
+	// Coverage is the share of what the nodes carried in the span that the
+	// record still has.
+	Coverage float64 `json:"coverage"`
+	Needed   float64 `json:"coverageNeeded"`
+	Lost     []Loss  `json:"lost"`
+}
+
+// Loss tells how much of the span one node's ring no longer has.
+type Loss struct {
+	Node  string  `json:"node"`
+	LostS float64 `json:"lostS"`
 }
 
 type Filter struct{ Binding, Kind, Node, Verdict string }
@@ -90,8 +102,6 @@
 		(f.Verdict == "" || slices.Contains(l.Verdicts, f.Verdict))
 }
 
-func repeatable(k dialplan.Kind) bool { return k.Repeatable() }
-
 // faults judges one playing of a request. Whether it may run twice was decided
 // by the rules it was carried under, and is not changed by calling it pure.
 func faults(t *trunk.Ticket, f *Fare, once bool, aim time.Duration) map[string]bool {
@@ -129,9 +139,38 @@
 	return out
 }
 
+// Bars are what a record must meet before it is decided on, and what is told
+// apart and watched.
+type Bars struct {
+	// Off is the share of the record that the old rules may fail to give back.
+	Off float64
+	// Coverage is the share of what was carried that the record must still have.
+	Coverage float64
+	ByNode   bool
+	Watch    []string
+}
+
+// coverage tells how much of the span the record has, node by node; one that
+// did not answer has nothing.
+func (r *Report) coverage(c *trunk.Carried) {
+	kept := 0.0
+	for _, n := range c.Nodes {
+		span := float64(min(c.SpanUs, max(n.NowUs-n.BeganUs, 1)))
+		if c.SpanUs == 0 || n.NowUs == 0 {
+			span = 1
+		}
+		lost := min(max(float64(n.LostUs), 0)/span, 1)
+		kept += 1 - lost
+		if n.LostUs > 0 {
+			r.Lost = append(r.Lost, Loss{n.Node, float64(n.LostUs) / 1e6})
+		}
+	}
+	r.Coverage = kept / float64(max(len(c.Nodes)+len(c.Silent), 1))
+}
+
 // Play plays the record under the old rules and under the new ones, and tells
 // what differs.
-func Play(c *trunk.Carried, r Rules, allowed float64) (*Report, error) {
+func Play(c *trunk.Carried, r Rules, b Bars) (*Report, error) {
 	was, err := newWorld(c, Rules{Seed: r.Seed})
 	if err != nil {
 		return nil, err
@@ -144,10 +183,13 @@
 	}
 	now.seed()
 	now.play()
-	rep := &Report{Nodes: len(c.Nodes), SpanS: float64(c.SpanUs) / 1e6, Silent: append([]string{}, c.Silent...), Allowed: allowed, Counts: map[string]int{},
-		Lines: []Line{}, Sums: []Sum{}, Moves: []SessionMove{}}
+	rep := &Report{Nodes: len(c.Nodes), SpanS: float64(c.SpanUs) / 1e6, Silent: append([]string{}, c.Silent...), Allowed: b.Off, Needed: b.Coverage, Counts: map[string]int{},
+		Lines: []Line{}, Sums: []Sum{}, Moves: []SessionMove{}, Flags: []Flag{}, Lost: []Loss{}}
+	rep.coverage(c)
 	nodes := nodesOf(c)
 	parents := join(c, nodes)
+	w := watch{b.Watch, calledRoutes(c, parents)}
+	fl := &flows{atlas: atlasOf(c), byNode: b.ByNode, m: map[Flow]*Shift{}}
 	off := 0
 	type sumKey struct{ b, k, n string }
 	sums := map[sumKey]*Sum{}
@@ -176,23 +218,23 @@
 			if !same(t, old) {
 				off++
 			}
-			k, known := dialplan.KindOf(cmp.Or(t.Kind, old.Kind))
-			once := known && !repeatable(k) || !known && then.Binding != "" && !repeatable(then.kind)
+			once := once(t, old, then)
+			fl.add(n, t, old, then)
 			aim := old.aim
 			if aim == 0 || then.aim > 0 && then.aim < aim {
 				aim = then.aim
 			}
-			a, b := faults(t, old, once, aim), faults(t, then, once, aim)
+			before, after := faults(t, old, once, aim), faults(t, then, once, aim)
 			var vs []string
-			for v := range b {
-				if !a[v] {
+			for v := range after {
+				if !before[v] {
 					vs = append(vs, v)
 				}
 			}
 			if len(then.Runs) > 0 && len(old.Runs) > 0 && then.Service != old.Service {
 				vs = append(vs, Elsewhere)
 			}
-			if then.Code >= 400 && then.Code < 600 && !then.answered && old.answered && !b[Vanished] {
+			if then.Code >= 400 && then.Code < 600 && !then.answered && old.answered && !after[Vanished] {
 				vs = append(vs, Bounced)
 			}
 			if t.Session != "" {
@@ -235,6 +277,11 @@
 				l.Parent = p.Id
 			}
 			rep.Lines = append(rep.Lines, l)
+			if w.has(t, then, once) {
+				if what, why := harm(t, vs, then, once, aim); what != "" {
+					rep.Flags = append(rep.Flags, Flag{ID: l.ID, Node: l.Node, At: l.At, Route: sk.b, Kind: sk.k, Parent: l.Parent, What: what, Why: why, Basis: l.Basis, at: l.at})
+				}
+			}
 		}
 	}
 	for _, n := range now.nodes {
@@ -248,7 +295,9 @@
 	})
 	rep.Sessions = len(sessions)
 	rep.Control = float64(off) / float64(max(rep.Requests, 1))
-	rep.Fit = rep.Control <= allowed
+	rep.Fit = rep.Control <= b.Off && rep.Coverage >= b.Coverage
+	rep.Shifts = fl.shifts()
+	sort.SliceStable(rep.Flags, func(i, j int) bool { return rep.Flags[i].at < rep.Flags[j].at })
 	for _, s := range sums {
 		rep.Sums = append(rep.Sums, *s)
 	}
@@ -412,9 +461,22 @@
 		fmt.Fprintf(&b, "%s did not answer: its requests are missing\n", s)
 	}
 	fmt.Fprintf(&b, "control: the old rules give back all but %.2f%% of what was recorded (allowed: %.2f%%)\n", 100*r.Control, 100*r.Allowed)
-	if !r.Fit {
+	fmt.Fprintf(&b, "coverage: the record has %.1f%% of what the nodes carried in its span (needed: %.1f%%)\n", 100*r.Coverage, 100*r.Needed)
+	for i, l := range r.Lost {
+		if i == most {
+			fmt.Fprintf(&b, "  and %d more nodes\n", len(r.Lost)-i)
+			break
+		}
+		fmt.Fprintf(&b, "  %s: its ring lost %.1f s (recordSet.requests)\n", l.Node, l.LostS)
+	}
+	if r.Control > r.Allowed {
 		b.WriteString("UNFIT TO DECIDE ON: the playing does not give back what happened\n")
 	}
+	if r.Coverage < r.Needed {
+		b.WriteString("UNFIT TO DECIDE ON: too much of what was carried is missing\n")
+	}
+	b.WriteString(shiftsText(r.Shifts))
+	b.WriteString(flagsText(r.Flags, most))
 	b.WriteString("\nunder the new rules, and not under the old:\n")
 	names := []string{Doubled, Vanished, Stalled, Elsewhere, Bounced, Misplaced, Moved, Unasked}
 	for _, v := range names {
@@ -428,7 +490,7 @@
 		}
 		fmt.Fprintf(&b, "  %s from %s to %s: %s, at %s\n", m.Session, m.From, m.To, m.Why, m.Node)
 	}
-	fmt.Fprintf(&b, "\n%-20s %-10s %-26s %9s  %s\n", "binding", "kind", "node", "requests", "changed")
+	fmt.Fprintf(&b, "\n%-20s %-10s %-26s %9s  %s\n", "route", "kind", "node", "requests", "changed")
 	for _, s := range r.Sums {
 		if len(s.Counts) == 0 || f.Binding != "" && f.Binding != s.Binding || f.Kind != "" && f.Kind != s.Kind || f.Node != "" && f.Node != s.Node {
 			continue
@@ -447,7 +509,7 @@
 			continue
 		}
 		if n++; n == 1 {
-			fmt.Fprintf(&b, "\n%-12s %-18s %-26s %-16s %-10s %-8s %s\n", "at", "request", "node", "binding", "kind", "basis", "what")
+			fmt.Fprintf(&b, "\n%-12s %-18s %-26s %-16s %-10s %-8s %s\n", "at", "request", "node", "route", "kind", "basis", "what")
 		}
 		if n > most {
 			continue
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -344,13 +344,7 @@
 	}
 	f.Service = x.plan.Services[ix].Name
 	if r.Policy != nil {
-		may, _ := r.Policy.Allows(dialplan.Asked{Method: t.Method, Path: path, Query: query, Caller: t.Caller, BodyBytes: int(t.Body), Header: func(h string) string {
-			v, ok := t.Headers[h]
-			if !ok {
-				f.Model = true
-			}
-			return v
-		}})
+		may, _ := r.Policy.Allows(dialplan.Asked{Method: t.Method, Path: path, Query: query, Caller: t.Caller, BodyBytes: int(t.Body), Header: x.header})
 		if !may {
 			x.end(switchboard.Barred.Code())
 			return
@@ -393,6 +387,20 @@
 		return ""
 	})
 	x.course.Only(x.only)
+	if r := x.route; r.Key.In != "" {
+		path, query, _ := strings.Cut(x.t.Target, "?")
+		x.course.Key(switchboard.KeyHash(x.f.Service, r.Key.Of(r.Prefix, path, query, x.header)))
+	}
+}
+
+// header gives what the record has of a header; one that it doesn't have makes
+// the playing a model.
+func (x *ride) header(h string) string {
+	v, ok := x.t.Headers[h]
+	if !ok {
+		x.f.Model = true
+	}
+	return v
 }
 
 // seat finds the session's instance, as the live filter does.
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -72,6 +72,9 @@
 	Late bool
 	Rank int
 	Due  time.Time
+	// Hot marks a read of a key that draws a crowd: it stands behind others of
+	// its rank, and leaves a share of the slots to them.
+	Hot bool
 }
 
 func (p Place) before(o Place) bool {
@@ -81,6 +84,9 @@
 	if p.Rank != o.Rank {
 		return p.Rank < o.Rank
 	}
+	if p.Hot != o.Hot {
+		return o.Hot
+	}
 	return p.Due.Before(o.Due)
 }
 
@@ -118,6 +124,31 @@
 	work   time.Duration
 	fails  int
 	ills   illness
+	hot    int
+	other  time.Time
+}
+
+const (
+	// spared is the part of the slots that hot reads leave to the rest, while
+	// the rest has come within sparedFor.
+	spared    = 4
+	sparedFor = time.Second
+)
+
+// hotMost is how many slots reads of hot keys may hold now.
+func (d *Desk) hotMost(now time.Time) int {
+	n := max(d.life.Slots, 1)
+	if now.Sub(d.other) > sparedFor || n == 1 {
+		return n
+	}
+	return n - max(n/spared, 1)
+}
+
+// HotMost tells how many slots reads of hot keys may hold now.
+func (d *Desk) HotMost() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hotMost(d.o.Now())
 }
 
 func New(o Options) *Desk {
@@ -153,7 +184,7 @@
 			return false
 		}
 		d.flush(Other)
-		d.run = 0
+		d.run, d.hot = 0, 0
 	}
 	if was.ID == b.ID && was.State == "draining" && b.State == "ready" {
 		b.State = "draining"
@@ -316,11 +347,18 @@
 func (d *Desk) fill() {
 	for len(d.wait) > 0 && d.run < d.life.Slots {
 		s := heap.Pop(&d.wait).(*seat)
-		d.run++
+		d.take(s.Hot)
 		s.ch <- None
 	}
 }
 
+func (d *Desk) take(hot bool) {
+	d.run++
+	if hot {
+		d.hot++
+	}
+}
+
 // Admit waits for a slot by rank and deadline, or turns away at once where the
 // wait would be longer than most. With None the caller holds a slot of the
 // life id and must call the release it gets.
@@ -330,12 +368,19 @@
 		d.mu.Unlock()
 		return nil, r
 	}
+	now := d.o.Now()
+	if !at.Hot {
+		d.other = now
+	}
+	if at.Hot && d.hot >= d.hotMost(now) {
+		d.mu.Unlock()
+		return nil, Full
+	}
 	if d.run < d.life.Slots && len(d.wait) == 0 {
-		d.run++
+		d.take(at.Hot)
 		d.mu.Unlock()
-		return d.releaser(id), None
+		return d.releaser(id, at.Hot), None
 	}
-	now := d.o.Now()
 	ahead := 1
 	for _, s := range d.wait {
 		if !at.before(s.Place) {
@@ -356,7 +401,7 @@
 	select {
 	case r := <-s.ch:
 		if r == None {
-			return d.releaser(id), None
+			return d.releaser(id, at.Hot), None
 		}
 		return nil, r
 	case <-t.C:
@@ -371,16 +416,19 @@
 	}
 	d.mu.Unlock()
 	if x := <-s.ch; x == None {
-		d.releaser(id)()
+		d.releaser(id, at.Hot)()
 	}
 	return nil, r
 }
 
-func (d *Desk) releaser(id string) func() {
+func (d *Desk) releaser(id string, hot bool) func() {
 	return func() {
 		d.mu.Lock()
 		if d.life.ID == id && d.run > 0 {
 			d.run--
+			if hot {
+				d.hot--
+			}
 			if d.open(id) == None {
 				d.fill()
 			}
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -142,7 +142,7 @@
 			due  time.Duration
 		}{{false, 2, 10}, {false, 1, 30}, {true, 0, 5}, {false, 1, 20}, {false, 0, 40}} {
 			go func() {
-				f, why := d.Admit(context.Background(), "a", Place{x.late, x.rank, time.Now().Add(x.due * time.Second)}, time.Minute)
+				f, why := d.Admit(context.Background(), "a", Place{Late: x.late, Rank: x.rank, Due: time.Now().Add(x.due * time.Second)}, time.Minute)
 				got <- fmt.Sprintf("%d %d %s", x.rank, int(x.due), why)
 				if f != nil {
 					f()
@@ -172,3 +172,33 @@
 	qt.Check(t, why, qt.Equals, None)
 	f()
 }
+
+func TestHotReadsLeaveSlotsToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := New(Options{Beat: time.Hour, Missed: 3, Queue: 1, Note: func(string, ...any) {}, Changed: func(Life) {}})
+		d.Beat(Beat{ID: "a", Slots: 8, State: "ready", Seq: 1})
+		at := func(hot bool) Place { return Place{Due: time.Now().Add(time.Minute), Hot: hot} }
+		free, why := d.Admit(context.Background(), "a", at(false), 0)
+		qt.Assert(t, why, qt.Equals, None)
+		free()
+		var frees []func()
+		for range 6 {
+			f, why := d.Admit(context.Background(), "a", at(true), 0)
+			qt.Assert(t, why, qt.Equals, None)
+			frees = append(frees, f)
+		}
+		_, why = d.Admit(context.Background(), "a", at(true), time.Minute)
+		qt.Assert(t, why, qt.Equals, Full)
+		for range 2 {
+			f, why := d.Admit(context.Background(), "a", at(false), 0)
+			qt.Assert(t, why, qt.Equals, None)
+			frees = append(frees, f)
+		}
+		for _, f := range frees {
+			f()
+		}
+		// With nobody else about, all slots may be theirs.
+		time.Sleep(2 * sparedFor)
+		qt.Assert(t, d.HotMost(), qt.Equals, 8)
+	})
+}
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -64,6 +64,16 @@
 	a.wake = make(chan struct{})
 }
 
+// Murmur changes what the node's next answer to a poll says, without answering
+// the lingering one.
+func (a *Agent) Murmur(f func(*trunk.NodeState)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := proto.Clone(a.node).(*trunk.NodeState)
+	f(n)
+	a.node = n
+}
+
 func (a *Agent) fence(epoch uint64) bool {
 	if epoch < a.epoch {
 		return false
--- /dev/null
+++ b/internal/supervisor/hot_test.go
@@ -0,0 +1,93 @@
+package supervisor
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/trunk"
+)
+
+var hotRules = HotOptions{Share: 0.5, Most: 2, Width: 6, Fall: 4 * time.Second}
+
+func endpointsOf(n int) (es []*trunk.Endpoint) {
+	for i := range n {
+		es = append(es, &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", State: Up, Slots: 8})
+	}
+	return es
+}
+
+// told is what n nodes say of a key, each the same.
+func told(n int, key uint64, perS float64) (out [][]*trunk.KeyRate) {
+	for range n {
+		out = append(out, []*trunk.KeyRate{{Key: key, PerS: perS, WorkMs: 40, Service: "s", Route: "read"}})
+	}
+	return out
+}
+
+func TestKeyHotOnlyInSumIsSeenAndFallsSlowly(t *testing.T) {
+	h := NewHotKeys(hotRules)
+	es := endpointsOf(10)
+	at := func(s float64, told [][]*trunk.KeyRate) []*trunk.HotKey {
+		out, _ := h.Judge(slices.Values(told), es, time.Duration(s*float64(time.Second)), 0)
+		return out
+	}
+	// 2 a second fill 0.08 slots at one node; 281 nodes' reads fill 22.5.
+	qt.Assert(t, at(0, told(1, 7, 2)), qt.HasLen, 0)
+	qt.Assert(t, at(1, told(281, 7, 2))[0].Width, qt.Equals, uint32(6))
+	// A short lull changes nothing, a long one lowers the width by steps.
+	qt.Assert(t, at(2, told(1, 7, 2))[0].Width, qt.Equals, uint32(6))
+	qt.Assert(t, at(4, told(281, 7, 2))[0].Width, qt.Equals, uint32(6))
+	var seen []uint32
+	for s := 5.0; s < 25; s += 0.25 {
+		out := at(s, nil)
+		if len(out) == 0 {
+			seen = append(seen, 1)
+			break
+		}
+		if w := out[0].Width; len(seen) == 0 || seen[len(seen)-1] != w {
+			seen = append(seen, w)
+		}
+	}
+	qt.Assert(t, seen, qt.DeepEquals, []uint32{6, 3, 1})
+}
+
+func TestHotKeysAreBoundedAndTheHeaviestGetThePlaces(t *testing.T) {
+	h := NewHotKeys(hotRules)
+	all := append(append(told(50, 1, 10), told(50, 2, 30)...), told(50, 3, 20)...)
+	out, _ := h.Judge(slices.Values(all), endpointsOf(3), 0, 0)
+	qt.Assert(t, out, qt.HasLen, 2)
+	qt.Assert(t, []uint64{out[0].Key, out[1].Key}, qt.DeepEquals, []uint64{2, 3})
+	qt.Assert(t, out[0].Width, qt.Equals, uint32(3), qt.Commentf("no wider than the service"))
+	qt.Assert(t, h.refused, qt.Equals, uint64(1))
+	out, _ = h.Judge(slices.Values(all), nil, time.Second, 0)
+	qt.Assert(t, out, qt.HasLen, 0, qt.Commentf("its service is gone"))
+}
+
+func TestNewMasterStartsFromTheLastViewsWidths(t *testing.T) {
+	h := NewHotKeys(hotRules)
+	es := endpointsOf(10)
+	was, _ := h.Judge(slices.Values(told(100, 7, 4)), es, 0, 0)
+	view := &trunk.View{Epoch: 1, Stamp: 3, Hot: was}
+	b, err := proto.Marshal(view.Since(&trunk.View{Epoch: 1, Stamp: 2}))
+	qt.Assert(t, err, qt.IsNil)
+	d := &trunk.View{}
+	qt.Assert(t, proto.Unmarshal(b, d), qt.IsNil)
+	kept := d.Onto(&trunk.View{Epoch: 1, Stamp: 2, Hot: told7(1)})
+	n := NewHotKeys(hotRules)
+	n.Load(kept.Hot, 10*time.Second)
+	// Nobody has told it anything yet.
+	out, steps := n.Judge(slices.Values[[][]*trunk.KeyRate](nil), es, 11*time.Second, 0)
+	qt.Assert(t, steps, qt.HasLen, 0)
+	qt.Assert(t, sameWidths(out, was), qt.IsTrue)
+	out, steps = n.Judge(slices.Values(told(100, 7, 4)), es, 13*time.Second, 0)
+	qt.Assert(t, steps, qt.HasLen, 0)
+	qt.Assert(t, sameWidths(out, was), qt.IsTrue)
+	qt.Assert(t, view.Lean().Hot, qt.HasLen, 1)
+}
+
+func told7(w uint32) []*trunk.HotKey { return []*trunk.HotKey{{Key: 7, Service: "s", Width: w}} }
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -28,6 +28,7 @@
 	Window     time.Duration
 	Crashes    int
 	Fails      int
+	Hot        HotOptions
 	Me         string
 	Now        func() time.Duration
 	// Held tells whether shard 0 is held right now; a master that is not sure
@@ -58,6 +59,9 @@
 	listed  []*trunk.Endpoint
 	ills    verdicts
 	judged  time.Duration
+	heated  time.Duration
+	hots    *HotKeys
+	hot     []*trunk.HotKey
 	view    *trunk.View
 	inner   []*trunk.Endpoint
 	changed time.Duration
@@ -87,7 +91,7 @@
 }
 
 func NewMaster(o Options, l *exchange.Loop, lines *trunk.Lines, st Store) *Master {
-	return &Master{o: o, Loop: l, lines: lines, store: st, hs: map[string]*history{}, users: map[string]string{},
+	return &Master{o: o, Loop: l, lines: lines, store: st, hs: map[string]*history{}, users: map[string]string{}, hots: NewHotKeys(o.Hot),
 		polls: map[string]context.CancelFunc{}, ills: verdicts{}, view: &trunk.View{}, sends: map[string]*courier{}}
 }
 
@@ -118,6 +122,8 @@
 	m.making = false
 	m.sends, m.views, m.packs = map[string]*courier{}, nil, nil
 	m.listed = nil
+	m.hot = v.Hot
+	m.hots.Load(v.Hot, now)
 	for _, e := range v.Endpoints {
 		if e.Node == "" {
 			m.listed = append(m.listed, e)
@@ -443,13 +449,14 @@
 		m.judged = now
 		m.touch()
 	}
+	m.widen(now)
 	if now-m.made < max(m.o.Interval, m.spread()) || now-m.changed < m.o.Settle {
 		return
 	}
-	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && m.view.Roll.GetStamp() == m.roll.GetStamp() && len(m.view.NodeLines) == len(m.hs) {
+	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && sameWidths(m.hot, m.view.Hot) && m.view.Roll.GetStamp() == m.roll.GetStamp() && len(m.view.NodeLines) == len(m.hs) {
 		return
 	}
-	v := &trunk.View{Epoch: m.epoch, Stamp: m.view.Stamp + 1, Endpoints: m.inner, Roll: m.roll, ConfigStamp: m.conf, Master: m.o.Me}
+	v := &trunk.View{Epoch: m.epoch, Stamp: m.view.Stamp + 1, Endpoints: m.inner, Roll: m.roll, ConfigStamp: m.conf, Master: m.o.Me, Hot: m.hot}
 	for n, h := range m.hs {
 		v.NodeLines = append(v.NodeLines, n+" "+h.state.GetAddr())
 	}
@@ -474,6 +481,35 @@
 	}()
 }
 
+// widen looks at the keys that nodes read most, once in an interval.
+func (m *Master) widen(now time.Duration) {
+	if now-m.heated < m.o.Interval {
+		return
+	}
+	m.heated = now
+	hot, steps := m.hots.Judge(m.reads, m.inner, now, time.Now().UnixMicro())
+	for _, s := range steps {
+		m.note("%s", s)
+	}
+	if !sameWidths(hot, m.hot) {
+		m.changed = now
+	}
+	m.hot = hot
+}
+
+func (m *Master) reads(yield func([]*trunk.KeyRate) bool) {
+	for _, h := range m.hs {
+		if r := h.state.GetReads(); h.reached && len(r) > 0 && !yield(r) {
+			return
+		}
+	}
+}
+
+// Hot gives the hot keys and how many widths were raised and lowered.
+func (m *Master) Hot() ([]*trunk.HotKey, *trunk.HotCounts) {
+	return m.hot, &trunk.HotCounts{Widened: m.hots.widened, Narrowed: m.hots.narrowed, Refused: m.hots.refused}
+}
+
 func (m *Master) publish(v *trunk.View) {
 	m.view, m.made = v, m.o.Now()
 	m.trace("published", v.Stamp)
--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -36,6 +36,7 @@
 	hdrLate    = "X-Corkcove-Late"
 	hdrOnce    = "X-Corkcove-Once"
 	hdrHeavy   = "X-Corkcove-Heavy"
+	hdrHot     = "X-Corkcove-Hot"
 )
 
 const (
--- a/internal/switchboard/course.go
+++ b/internal/switchboard/course.go
@@ -66,6 +66,7 @@
 	tried    []*remote
 	ran      []*remote
 	lead     func() string
+	key      uint64
 }
 
 func NewCourse(p *Pools, b *Budget, route *dialplan.Route, to string, heavy bool) Course {
@@ -89,7 +90,7 @@
 			return r
 		}
 	}
-	r := c.pools.pick(want{service: c.to, heavy: c.heavy, up: c.heavy && c.route.Kind != dialplan.Download, pure: c.route.Kind.Repeatable(), aim: c.route.Target, tried: c.tried, wide: c.wide})
+	r := c.pools.pick(want{service: c.to, heavy: c.heavy, up: c.heavy && c.route.Kind != dialplan.Download, pure: c.route.Kind.Repeatable(), aim: c.route.Target, tried: c.tried, wide: c.wide, key: c.key})
 	if r != nil {
 		c.tried = append(c.tried, r)
 	}
@@ -236,6 +237,14 @@
 
 func (c *Course) Short() bool { return c.short() }
 
+// Key makes a read keep to its key's homes; what can't be repeated goes the
+// ordinary way.
+func (c *Course) Key(k uint64) {
+	if c.route.Kind.Repeatable() {
+		c.key = k
+	}
+}
+
 // Only keeps the course to one endpoint.
 func (c *Course) Only(id string) { c.only = id }
 
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -39,6 +39,7 @@
 	for n := 0; ; n++ {
 		t.course = NewCourse(t.b.o.Pools, t.b.o.Budget, t.route, t.to, t.heavy())
 		t.course.only = t.only
+		t.course.Key(t.key)
 		o, done := t.run()
 		if done {
 			return true
@@ -320,6 +321,9 @@
 	if !t.fresh {
 		out[hdrLate] = []string{"1"}
 	}
+	if t.b.o.Pools.isHot(t.key) {
+		out[hdrHot] = []string{"1"}
+	}
 	if !t.route.Kind.Repeatable() {
 		out[hdrOnce] = []string{"1"}
 	}
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -157,7 +157,7 @@
 	if h := v.r.Header.Get(hdrHeavy); h != "" && v.n.o.Pacer.behind(time.Now()) > fullLink[h] {
 		return v.say(sayBounced, "link")
 	}
-	free, why := v.n.o.Desk.Admit(v.ctx, v.life, subscriber.Place{Late: v.r.Header.Get(hdrLate) != "", Rank: v.rank, Due: v.due}, most)
+	free, why := v.n.o.Desk.Admit(v.ctx, v.life, subscriber.Place{Late: v.r.Header.Get(hdrLate) != "", Rank: v.rank, Due: v.due, Hot: v.r.Header.Get(hdrHot) != ""}, most)
 	if why != subscriber.None {
 		return v.say(sayBounced, string(why))
 	}
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -61,6 +61,7 @@
 	Pacer   *Pacer
 	Cords   *cord.Cords
 	Tickets *ticket.Recorder
+	Keys    *KeyMeter
 	Ready   func() bool
 	Note    func(f string, a ...any)
 	Peek    int
@@ -149,6 +150,7 @@
 	fresh  bool
 	course Course
 	pinned string
+	key    uint64
 	only   string
 	wait   time.Duration
 	rec    *record
@@ -224,9 +226,21 @@
 		return t.answer(refused)
 	}
 	t.to = t.plan.Services[i].Name
+	t.named()
 	return false
 }
 
+// named finds the key that a read asks for, and counts it.
+func (t *trip) named() {
+	r := t.route
+	if r.Key.In == "" || !r.Kind.Repeatable() {
+		return
+	}
+	p, q, _ := strings.Cut(t.r.RequestURI, "?")
+	t.key = KeyHash(t.to, r.Key.Of(r.Prefix, p, q, t.rec.header(t.r.Header.Get)))
+	t.b.o.Keys.Note(t.key, r.Name, t.to, t.b.longest.usual(r.Name))
+}
+
 func (t *trip) judge() bool {
 	if t.route.Policy == nil {
 		return false
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -28,6 +28,7 @@
 	up      bool
 	cold    bool
 	grey    bool
+	hash    uint64
 	busy    *area
 	*gauge
 }
@@ -70,6 +71,7 @@
 	stamp uint64
 	by    map[string]*party
 	nodes int
+	hot   map[uint64]*hot
 }
 
 // party is a service's endpoints: all of them, those of this site, and of
@@ -94,6 +96,7 @@
 	heavy float64
 	draw  func() float64
 	clock func() int64
+	slow  int64
 }
 
 func NewPools(site string, far, heavy float64) *Pools {
@@ -159,7 +162,7 @@
 			p.busy[k] = &area{}
 		}
 		r := &remote{busy: p.busy[k], id: e.Id, node: e.Node, inbound: e.Inbound, addr: e.Addr, site: e.Site,
-			slots: max(int64(e.Slots), 1), up: e.State == "up", cold: e.ColdMs > 0, grey: e.Grey, gauge: g}
+			slots: max(int64(e.Slots), 1), up: e.State == "up", cold: e.ColdMs > 0, grey: e.Grey, hash: xxhash.Sum64String(e.Id), gauge: g}
 		y.all = append(y.all, r)
 		if r.site == p.site {
 			y.home = append(y.home, r)
@@ -168,6 +171,7 @@
 	for _, y := range n.by {
 		y.near = subset(p.name, y.home, p.some)
 	}
+	p.heat(v, n, p.cur.Load())
 	p.all = keep
 	p.cur.Store(n)
 }
@@ -287,6 +291,8 @@
 	aim   time.Duration
 	tried []*remote
 	wide  bool
+	// key is that of a read that keeps to its homes; 0 is none.
+	key uint64
 }
 
 func (w want) had(r *remote) bool {
@@ -310,6 +316,15 @@
 	}
 	now := p.clock()
 	tryGrey := w.pure && len(w.tried) == 0 && p.draw() < trickle
+	if w.key != 0 && len(w.tried) == 0 && !tryGrey {
+		far := p.far
+		if w.heavy {
+			far = p.heavy
+		}
+		if r := p.pickHome(y, w, now, far, usualWork(y.all)); r != nil {
+			return r
+		}
+	}
 	if len(y.all) > 0 && y.all[0].direct() {
 		return p.pickDirect(y, w, now, tryGrey)
 	}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -128,6 +128,7 @@
 	if first > 0 && size > 0 {
 		if t := r.ring[first%size]; t.AtUs > since && r.began < t.AtUs {
 			o.Dropped = first
+			o.LostUs = t.AtUs - o.BeganUs
 		}
 	}
 	k := uint32(0)
--- a/internal/trunk/pack.go
+++ b/internal/trunk/pack.go
@@ -34,7 +34,7 @@
 
 // Since gives what changed from one view to the next of the same epoch.
 func (x *View) Since(old *View) *View {
-	d := &View{Epoch: x.Epoch, Stamp: x.Stamp, Base: old.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes}
+	d := &View{Epoch: x.Epoch, Stamp: x.Stamp, Base: old.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Hot: x.Hot}
 	if x.Roll.GetStamp() != old.Roll.GetStamp() {
 		d.Roll = x.Roll
 	}
@@ -56,7 +56,7 @@
 
 // Onto makes the whole view of a difference and the view that it stands on.
 func (x *View) Onto(old *View) *View {
-	v := &View{Epoch: x.Epoch, Stamp: x.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Roll: x.Roll}
+	v := &View{Epoch: x.Epoch, Stamp: x.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Roll: x.Roll, Hot: x.Hot}
 	if v.Roll == nil {
 		v.Roll = old.Roll
 	}
@@ -78,5 +78,5 @@
 
 // Lean is the view without what only a next master needs.
 func (x *View) Lean() *View {
-	return &View{Epoch: x.Epoch, Stamp: x.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Roll: x.Roll, Endpoints: x.Endpoints}
+	return &View{Epoch: x.Epoch, Stamp: x.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Roll: x.Roll, Endpoints: x.Endpoints, Hot: x.Hot}
 }
