--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -153,6 +153,8 @@
 	started  time.Duration
 
 	lastHold time.Duration
+	ticked   time.Duration
+	starved  time.Duration
 
 	joiners  map[string]*joiner
 	enrolled map[string]bool
@@ -167,7 +169,7 @@
 
 func New(o Options, w Wire, bk Book, recs [][]byte) (*Board, error) {
 	b := &Board{o: o, wire: w, book: bk, me: proto.Clone(o.Me).(*trunk.Member), peers: map[string]*peer{},
-		joiners: map[string]*joiner{}, settles: map[int]uint64{}, first: o.First, started: o.Now()}
+		joiners: map[string]*joiner{}, settles: map[int]uint64{}, first: o.First, started: o.Now(), starved: -1 << 40}
 	for i := 0; i < o.Shards; i++ {
 		b.shards = append(b.shards, &shard{ix: i, table: o.NewTable()})
 	}
@@ -345,8 +347,22 @@
 	}
 }
 
-// stalled tells that a record has waited long for the disk.
-func (b *Board) stalled() bool { return len(b.outs) > 0 && b.now()-b.outs[0] > b.o.Hold/2 }
+// stalled tells that a record has waited long for the disk. Where this member
+// itself got no processor of late, the wait is no sign of the disk: to hand over
+// then would bring the load that it suffers from to the next member, and so on.
+func (b *Board) stalled() bool {
+	now := b.now()
+	return len(b.outs) > 0 && now-b.outs[0] > b.o.Hold/2 && now-b.starved > b.o.Hold
+}
+
+// turned notes a tick; one that comes late means that the processor was short.
+func (b *Board) turned() {
+	now := b.now()
+	if b.ticked > 0 && now-b.ticked > b.o.Beat {
+		b.starved = now
+	}
+	b.ticked = now
+}
 
 func (b *Board) spoil(err error) {
 	if !b.diskBad {
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -51,6 +51,8 @@
 	sync  time.Duration
 	full  bool
 	first bool
+	// slow is how much later its ticks come than they should.
+	slow time.Duration
 }
 
 type world struct {
@@ -135,7 +137,7 @@
 	tick = func() {
 		if m.up && m.life == life {
 			b.Tick()
-			w.at(50*time.Millisecond, tick)
+			w.at(50*time.Millisecond+m.slow, tick)
 		}
 	}
 	w.at(time.Millisecond*time.Duration(w.rng.Intn(50)), tick)
@@ -610,6 +612,28 @@
 	check(t, w, r, n+40)
 }
 
+// A member without processor time keeps what it owns: handed over, its load
+// would starve the next one, and that the one after it.
+func TestStarvedMemberDoesNotHandItsLoadAround(t *testing.T) {
+	w := newWorld(t, 6, 5)
+	r := newRules(w)
+	r.work(20 * time.Second)
+	w.run(5 * time.Second)
+	m := w.ms["m0"]
+	_, own := m.board.Own(0)
+	qt.Assert(t, own, qt.IsTrue)
+	m.slow, m.sync = 300*time.Millisecond, 550*time.Millisecond
+	epoch := m.board.Epoch(0)
+	w.run(w.now + 4*time.Second)
+	qt.Assert(t, m.board.Epoch(0), qt.Equals, epoch)
+	_, own = m.board.Own(0)
+	qt.Assert(t, own, qt.IsTrue)
+	m.slow, m.sync = 0, 2*time.Millisecond
+	n := r.served
+	w.run(w.now + 2*time.Second)
+	check(t, w, r, n+40)
+}
+
 func TestMalformedCallsHarmNobody(t *testing.T) {
 	w := newWorld(t, 7, 1)
 	w.run(time.Second)
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -10,6 +10,7 @@
 // each beat.
 func (b *Board) Tick() {
 	now := b.now()
+	b.turned()
 	if b.diskBad && !b.diskBusy && now >= b.diskTry {
 		b.checkpoint()
 	}
@@ -379,7 +380,7 @@
 	if !s.serving {
 		return
 	}
-	if b.leaving || b.diskBad || b.stalled() {
+	if b.leaving || b.diskBad || b.stalled() && now-s.since > 2*b.o.Hold {
 		for k := 0; k < len(b.roll.Members); k++ {
 			for _, m := range b.roll.Members {
 				if m.Id != b.me.Id && b.order(s.ix, m.Id) == k && b.ready(m.Id) {
