--- /dev/null
+++ b/internal/supervisor/relay_test.go
@@ -0,0 +1,225 @@
+package supervisor
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corkcove/internal/trunk"
+)
+
+// relayer is a core member that relays, and counts what it was asked.
+type relayer struct {
+	trunk.Control
+	lines  *trunk.Lines
+	mu     sync.Mutex
+	asked  int
+	nodes  int
+	down   bool
+	hellos int
+	master string
+}
+
+func (r *relayer) Relay(ctx context.Context, q *trunk.RelayReq) (*trunk.RelayResp, error) {
+	r.mu.Lock()
+	r.asked++
+	r.nodes += len(q.To)
+	down := r.down
+	r.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	return Relay(ctx, r.lines, q), nil
+}
+
+func (r *relayer) Hello(context.Context, *trunk.HelloReq) (*trunk.HelloResp, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.hellos++
+	return &trunk.HelloResp{MasterAddr: r.master, Master: r.master == "self"}, nil
+}
+
+// crowd is a stage with relays; far makes nodes out of the relays' reach.
+func crowd(t *testing.T, nodes, relays int) (*stage, []*relayer, *trunk.Roll) {
+	s := newStage(t, nodes)
+	roll := &trunk.Roll{Stamp: 1, Members: []*trunk.Member{{Id: "m", Addr: "m"}}}
+	var rs []*relayer
+	lines := trunk.NewLines(&http.Client{Transport: deadEnd{}})
+	for i, n := range s.ns {
+		lines.PutNode(fmt.Sprint("a", i), n)
+	}
+	for i := range relays {
+		r := &relayer{lines: lines}
+		a := fmt.Sprint("core", i)
+		s.m.lines.PutControl(a, r)
+		roll.Members = append(roll.Members, &trunk.Member{Id: a, Addr: a})
+		rs = append(rs, r)
+	}
+	return s, rs, roll
+}
+
+func keptOf(n int) *trunk.View {
+	v := &trunk.View{Epoch: 1, Stamp: 9}
+	for i := range n {
+		v.NodeLines = append(v.NodeLines, fmt.Sprintf("n%d a%d", i, i))
+	}
+	return v
+}
+
+func (s *stage) all(t *testing.T, conf uint64) {
+	t.Helper()
+	for i, f := range s.ns {
+		f.mu.Lock()
+		last := uint64(0)
+		if len(f.confs) > 0 {
+			last = f.confs[len(f.confs)-1]
+		}
+		got := len(s.last[i])
+		f.mu.Unlock()
+		if last != conf || got != len(s.ns) {
+			t.Errorf("node %d has configuration %d and %d endpoints", i, last, got)
+		}
+	}
+}
+
+func TestTakeoverReachesAllNodesThroughRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, rs, roll := crowd(t, 120, 5)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		s.do(func() { s.m.Lead(2, keptOf(120), map[string]string{}, conf(5, "d"), roll) })
+		pass(600 * time.Millisecond)
+		s.all(t, 5)
+		for _, r := range rs {
+			qt.Check(t, r.asked <= 6, qt.IsTrue, qt.Commentf("%d calls", r.asked))
+			qt.Check(t, r.nodes >= 3*120/5, qt.IsTrue, qt.Commentf("%d nodes", r.nodes))
+		}
+		// A changed configuration is one call for each relay.
+		was := rs[0].asked
+		s.do(func() {
+			s.m.SetConfig(&trunk.Config{Stamp: 6, Packed: trunk.Pack([]byte("e")), Steps: []*trunk.Step{{Base: 5, Stamp: 6, Patch: trunk.Pack([]byte("p"))}}})
+		})
+		pass(100 * time.Millisecond)
+		s.all(t, 6)
+		qt.Check(t, rs[0].asked-was, qt.Equals, 1)
+	})
+}
+
+func TestRelayThatIsSilentOrCutOffIsGoneRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, rs, roll := crowd(t, 60, 3)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		rs[0].down = true
+		rs[1].lines = trunk.NewLines(&http.Client{Transport: deadEnd{}})
+		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), roll) })
+		pass(4 * time.Second)
+		s.all(t, 5)
+		was := rs[0].asked
+		s.do(func() { s.m.SetConfig(conf(6, "e")) })
+		pass(1800 * time.Millisecond)
+		s.all(t, 6)
+		qt.Check(t, rs[0].asked-was <= 2, qt.IsTrue)
+	})
+}
+
+func TestNothingIsSentOrRelayedWithoutTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, rs, roll := crowd(t, 40, 2)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		held := true
+		s.do(func() {
+			s.m.o.Held = func() bool { return held }
+			s.m.Lead(2, keptOf(40), map[string]string{}, conf(5, "d"), roll)
+		})
+		pass(time.Second)
+		s.all(t, 5)
+		was := rs[0].asked + rs[1].asked
+		s.do(func() {
+			s.m.SetConfig(conf(6, "e"))
+			held = false
+		})
+		pass(2 * time.Second)
+		qt.Assert(t, rs[0].asked+rs[1].asked, qt.Equals, was)
+		s.all(t, 5)
+		s.do(func() { held = true })
+		pass(time.Second)
+		s.all(t, 6)
+	})
+}
+
+func TestDeadNodesDoNotHoldUpTheOthersOfTheirRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, roll := crowd(t, 60, 2)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), roll) })
+		pass(time.Second)
+		for i := range 12 {
+			s.ns[5*i].set(true)
+		}
+		for c := uint64(6); c < 9; c++ {
+			s.do(func() { s.m.SetConfig(conf(c, "e")) })
+			pass(400 * time.Millisecond)
+			late := 0
+			for i, f := range s.ns {
+				f.mu.Lock()
+				if i%5 != 0 && f.confs[len(f.confs)-1] != c {
+					late++
+				}
+				f.mu.Unlock()
+			}
+			qt.Check(t, late, qt.Equals, 0, qt.Commentf("configuration %d", c))
+		}
+	})
+}
+
+func TestHelloAsksFewAndALingeringPollKeepsItQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		t0 := time.Now()
+		lines := trunk.NewLines(&http.Client{Transport: deadEnd{}})
+		var rs []*relayer
+		a := &Agent{Name: "n", Life: "l", Quiet: time.Second, Now: func() time.Duration { return time.Since(t0) }, Note: func(string, ...any) {}, Lines: lines}
+		for i := range 9 {
+			r := &relayer{master: "c7"}
+			if i == 7 {
+				r.master = "self"
+			}
+			lines.PutControl(fmt.Sprint("c", i), r)
+			a.Seeds = append(a.Seeds, fmt.Sprint("c", i))
+			rs = append(rs, r)
+		}
+		a.Start(&trunk.NodeState{Name: "n", Life: "l"})
+		qt.Assert(t, a.hello(t.Context()), qt.IsTrue)
+		n := 0
+		for _, r := range rs {
+			n += r.hellos
+		}
+		qt.Assert(t, n <= 2 && rs[7].hellos == 1, qt.IsTrue, qt.Commentf("%d core nodes were asked", n))
+		quiet := func() bool {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return a.Now()-a.polled > a.Quiet
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		go a.Poll(ctx, &trunk.PollReq{Epoch: 1, Name: "n", Life: "l", Seq: 1, LingerMs: 10000})
+		pass(5 * time.Second)
+		qt.Assert(t, quiet(), qt.IsFalse)
+		stop()
+		pass(time.Millisecond)
+		qt.Assert(t, quiet(), qt.IsTrue, qt.Commentf("the master's side broke off"))
+		a.Poll(t.Context(), &trunk.PollReq{Epoch: 1, Name: "n", NextMs: 3000})
+		pass(3500 * time.Millisecond)
+		qt.Assert(t, quiet(), qt.IsFalse)
+		pass(time.Second)
+		qt.Assert(t, quiet(), qt.IsTrue)
+	})
+}
--- a/internal/trunk/net.go
+++ b/internal/trunk/net.go
@@ -92,3 +92,10 @@
 	defer l.mu.Unlock()
 	l.nds[addr] = n
 }
+
+// PutControl stands a core member in for the one at an address.
+func (l *Lines) PutControl(addr string, c Control) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cts[addr] = c
+}
