--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -47,6 +47,7 @@
 	stState := st.Arg("state", "up, maintenance, retired or down.").Required().String()
 	sess := app.Command("sessions", "Show open sessions, which instance each is pinned to, and which moved and why.")
 	sessSince := sess.Flag("since", "Only moves under this configuration or later, such as r12.").String()
+	keys := app.Command("keys", "Show the keys that draw a crowd: over how many endpoints their reads go, since when and why.")
 	rp := app.Command("replay", "Play carried traffic again under other rules before they are pushed.")
 	rps := rp.Command("save", "Take what all nodes remember into a file.")
 	rpsFile := rps.Arg("file", "The file.").Required().String()
@@ -132,6 +133,8 @@
 				err = t.setState(*stNode, *stState)
 			case rps.FullCommand():
 				err = t.saveReplay(*rpsFile, *rpsSpan, *rpsMost)
+			case keys.FullCommand():
+				err = t.keys()
 			case sess.FullCommand():
 				err = t.sessions(*sessSince)
 			case ret.FullCommand():
