A node keeps to one relay, so that streams stay few; the playing sets widths for a proposal's keys

Found with hollow at 2,000 nodes: each relay came to hold streams to each node, and the hollow process ran out of its 20,000 descriptors.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -221,6 +221,10 @@
 	}
 }
 
+func hotOptions(h options.Hot) supervisor.HotOptions {
+	return supervisor.HotOptions{Share: h.Share, Most: h.Most, Width: h.Width, Fall: options.Secs(h.FallS)}
+}
+
 func runCore(p *process) error {
 	o := p.o
 	dk, err := tollbook.Folder(o.Self.DataDir)
@@ -245,7 +249,7 @@
 	c.master = supervisor.NewMaster(supervisor.Options{
 		Interval: 250 * time.Millisecond, PerNode: 4 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond, Linger: 2 * time.Second, LingerPer: 36 * time.Millisecond, LingerMost: 10 * time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
-		Hot: supervisor.HotOptions{Share: o.Hot.Share, Most: o.Hot.Most, Width: o.Hot.Width, Fall: options.Secs(o.Hot.FallS)},
+		Hot: hotOptions(o.Hot),
 		Me:  o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
 		Held: func() bool { return c.board.Held() },
 	}, exchange.NewLoop(), lines, c)
--- a/cmd/corkcove/replaying.go
+++ b/cmd/corkcove/replaying.go
@@ -182,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	r := replay.Rules{Seed: o.seed}
+	r := replay.Rules{Seed: o.seed, Hot: hotOptions(options.DefaultHot())}
 	if o.config != "" {
 		b, err := os.ReadFile(o.config)
 		if err != nil {
--- a/cmd/hollow/main.go
+++ b/cmd/hollow/main.go
@@ -9,6 +9,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -113,11 +115,11 @@
 			return err
 		}
 		c := exec.Command(bin, "core", "--settings", f)
-		log, err := os.Create(filepath.Join(dir, fmt.Sprintf("core-%d.log", i)))
+		out, err := os.Create(filepath.Join(dir, fmt.Sprintf("core-%d.log", i)))
 		if err != nil {
 			return err
 		}
-		c.Stdout, c.Stderr = log, log
+		c.Stdout, c.Stderr = out, out
 		if err := c.Start(); err != nil {
 			return err
 		}
@@ -174,7 +176,7 @@
 		Endpoint: &trunk.Endpoint{Id: "i-" + life, Service: fmt.Sprint("service-", i%b.service), Addr: h.addr, Site: zone, Slots: 8, State: "ready", Sound: true, Release: "v1"}})
 	mux := http.NewServeMux()
 	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(h.ag))
-	h.srv = &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
+	h.srv = &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute, ErrorLog: log.New(io.Discard, "", 0)}
 	go h.srv.Serve(counted{l, &b.load})
 	ctx, stop := context.WithCancel(context.Background())
 	h.stop = stop
--- a/internal/dialplan/read.go
+++ b/internal/dialplan/read.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -650,6 +651,11 @@
 	return nil
 }
 
+// Keyed tells that some route's reads have a key.
+func (c Doc) Keyed() bool {
+	return slices.ContainsFunc(c.Items, func(it Item) bool { return it.Binding.Key.In != "" })
+}
+
 func (c Doc) Write() []byte {
 	var e jx.Encoder
 	e.ObjStart()
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -136,6 +136,8 @@
 	SlowS float64 `toml:"slowStartS"`
 }
 
+func DefaultHot() Hot { return Hot{Share: 0.4, Most: 64, Width: 32, FallS: 5, SlowS: 2} }
+
 type Options struct {
 	Hot      Hot      `toml:"hotSet"`
 	Pins     Pins     `toml:"pinSet"`
@@ -169,7 +171,7 @@
 func Parse(b []byte, role string) (Options, error) {
 	o := Options{
 		Pins:     Pins{IdleS: 600, Most: 100000},
-		Hot:      Hot{Share: 0.4, Most: 64, Width: 32, FallS: 5, SlowS: 2},
+		Hot:      DefaultHot(),
 		Record:   Record{Requests: 4096, SpanS: 120},
 		Platform: Platform{BeatS: 1.5, Discovery: FromBeats, Entry: ByMachine, Cloud: CloudAPI{RatePerS: 10, MaxLagS: 1}},
 		Terms: Terms{Bounds: Bounds{
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -5,6 +5,7 @@
 	"container/heap"
 	"context"
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"net/url"
 	"slices"
@@ -14,6 +15,7 @@
 	"corkcove/internal/cord"
 	"corkcove/internal/dialplan"
 	"corkcove/internal/numbering"
+	"corkcove/internal/supervisor"
 	"corkcove/internal/switchboard"
 	"corkcove/internal/trunk"
 )
@@ -23,6 +25,8 @@
 	Plan    *dialplan.Doc
 	Retries *Retries
 	Seed    uint64
+	// Hot bounds the widths that a proposal's keys are given in the playing.
+	Hot supervisor.HotOptions
 }
 
 // Retries are the settings of the retry budget.
@@ -74,6 +78,8 @@
 	cords   *cord.Cords
 	plan    *dialplan.Table
 	tickets []*trunk.Ticket
+	view    *trunk.View
+	keys    *switchboard.KeyMeter
 }
 
 // place is the model of one endpoint.
@@ -131,6 +137,8 @@
 	rng    *rand.Rand
 	speeds map[string]float64
 	docs   map[uint64]*dialplan.Table
+	hots   *supervisor.HotKeys
+	hot    []*trunk.HotKey
 }
 
 func (w *world) at(t int64, f func()) {
@@ -217,8 +225,8 @@
 	clock := func() time.Time { return time.UnixMicro(w.now) }
 	since := func() time.Duration { return time.Duration(w.now-first+3600e6) * time.Microsecond }
 	for _, t := range c.Nodes {
-		n := &node{r: t, plan: plan, tickets: t.Tickets}
-		n.pools = switchboard.NewPools(t.Site, t.Far, t.Heavy).Prefer(t.Node, int(t.Near))
+		n := &node{r: t, plan: plan, tickets: t.Tickets, keys: switchboard.NewKeyMeter(clock)}
+		n.pools = switchboard.NewPools(t.Site, t.Far, t.Heavy).Prefer(t.Node, int(t.Near)).SlowStart(2 * time.Second)
 		if t.Role == "sidecar" {
 			n.pools.Beside(t.Node)
 		}
@@ -243,9 +251,9 @@
 				continue
 			}
 			if i == 0 {
-				n.pools.Set(x)
+				w.see(n, x)
 			} else {
-				w.at(v.AtUs, func() { n.pools.Set(x) })
+				w.at(v.AtUs, func() { w.see(n, x) })
 			}
 		}
 		for i, p := range t.Configs {
@@ -286,8 +294,68 @@
 	return p
 }
 
+// see brings a view into force at a node; under a proposal with keys the widths
+// are those of the playing.
+func (w *world) see(n *node, v *trunk.View) {
+	n.view = v
+	if w.hots != nil {
+		v = v.Lean()
+		v.Hot = w.hot
+	}
+	n.pools.Set(v)
+}
+
+const (
+	judgeUs = int64(250 * time.Millisecond / time.Microsecond)
+	tellUs  = 4 * judgeUs
+)
+
+// heat plays the master's part for hot keys: nodes tell their reads once a
+// second, and widths follow.
+func (w *world) heat(last int64) {
+	w.hots = supervisor.NewHotKeys(w.rules.Hot)
+	start := w.now
+	said := map[string][]*trunk.KeyRate{}
+	var judge func()
+	judge = func() {
+		if (w.now-start)%tellUs == 0 {
+			for _, n := range w.nodes {
+				said[n.r.Node], _ = n.keys.Rates()
+			}
+		}
+		var es []*trunk.Endpoint
+		stamp := uint64(0)
+		for _, n := range w.nodes {
+			if n.view != nil && n.view.Stamp >= stamp {
+				es, stamp = n.view.Endpoints, n.view.Stamp
+			}
+		}
+		hot, steps := w.hots.Judge(maps.Values(said), es, time.Duration(w.now-start)*time.Microsecond, w.now)
+		if w.hot = hot; len(steps) > 0 {
+			for _, n := range w.nodes {
+				if n.view != nil {
+					w.see(n, n.view)
+				}
+			}
+		}
+		if w.now < last {
+			w.at(w.now+judgeUs, judge)
+		}
+	}
+	w.at(start+judgeUs, judge)
+}
+
 // play runs all tickets.
 func (w *world) play() {
+	last := int64(0)
+	for _, n := range w.nodes {
+		for _, t := range n.tickets {
+			last = max(last, t.AtUs)
+		}
+	}
+	if p := w.rules.Plan; p != nil && p.Keyed() {
+		w.heat(last)
+	}
 	for _, n := range w.nodes {
 		for _, t := range n.tickets {
 			w.at(t.AtUs, func() { w.begin(n, t) })
@@ -383,7 +451,11 @@
 	x.course.Only(x.only)
 	path, query, _ := strings.Cut(x.t.Target, "?")
 	if r := x.route; r.Key.In != "" {
-		x.course.Key(switchboard.KeyHash(x.f.Service, r.Key.Of(r.Prefix, path, query, x.header)))
+		k := switchboard.KeyHash(x.f.Service, r.Key.Of(r.Prefix, path, query, x.header))
+		x.course.Key(k)
+		if r.Kind.Repeatable() {
+			x.n.keys.Note(k, r.Name, x.f.Service, x.w.usual[r.Name])
+		}
 	}
 	if o := x.w.docs[x.t.Config]; o != nil && x.route.Kind.Repeatable() {
 		// Reads whose key now stands elsewhere are chosen for anew.
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -81,7 +81,6 @@
 	packsOf uint64
 	parcels map[string]*parcel
 	shunned map[string]time.Duration
-	turn    int
 }
 
 const keepViews = 8
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"corkcove/internal/trunk"
 )
 
@@ -113,7 +115,8 @@
 	p.done[to.Name] = done
 }
 
-// relays are the other members that answered when they were last asked.
+// relays are the other members that answered when they were last asked. A node
+// keeps to one of them, so that streams stay few.
 func (m *Master) relays() []string {
 	var out []string
 	now := m.o.Now()
@@ -144,10 +147,15 @@
 			}
 			continue
 		}
-		each := max((len(p.req.To)+len(rs)-1)/len(rs), fewDirect/2)
-		for at := 0; at < len(p.req.To); at += each {
-			m.turn++
-			m.relay(p, rs[m.turn%len(rs)], p.req.To[at:min(at+each, len(p.req.To))])
+		parts := make([][]*trunk.RelayTo, len(rs))
+		for _, to := range p.req.To {
+			i := xxhash.Sum64String(to.Name) % uint64(len(rs))
+			parts[i] = append(parts[i], to)
+		}
+		for i, to := range parts {
+			if len(to) > 0 {
+				m.relay(p, rs[i], to)
+			}
 		}
 	}
 }
