--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -243,7 +243,7 @@
 	if err != nil {
 		return err
 	}
-	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 8)})
+	lines := trunk.NewLines(&http.Client{Transport: trunk.Watched(300*time.Millisecond, 2*time.Second, 90*time.Second, 8)})
 	loop := exchange.NewLoop()
 	c := &coreNode{process: p, loop: loop, svc: numbering.NewService(loop, shards), lines: lines}
 	c.master = supervisor.NewMaster(supervisor.Options{
--- a/internal/trunk/net.go
+++ b/internal/trunk/net.go
@@ -38,6 +38,16 @@
 	}
 }
 
+// Watched is a transport whose idle streams are probed, so that a peer that has
+// lost its power is found within a few seconds though nothing is sent to it.
+func Watched(wait, silence, idle time.Duration, perHost int) *http.Transport {
+	t := Transport(wait, silence, idle, perHost)
+	d := Dialer(wait, silence)
+	d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: 1500 * time.Millisecond, Interval: time.Second, Count: 2}
+	t.DialContext = d.DialContext
+	return t
+}
+
 // Lines keeps the typed user agents of the other processes by address.
 type Lines struct {
 	hc  *http.Client
