A node that refuses a view says which it holds, and gets the difference from that

Cause (hollow, 1,000 nodes, 4 changes a second: 13.8 KB/s to each node instead of 1): views that came twice or late were refused, and the master took the node to hold none and sent all of it. The test fails without it. Its gap is now longer than the 24 views kept (8 before).

--- a/internal/supervisor/delta_test.go
+++ b/internal/supervisor/delta_test.go
@@ -133,7 +133,24 @@
 		e.mu.Lock()
 		e.drop = true
 		e.mu.Unlock()
-		for i := range 12 {
+		// An answer that got lost leaves the master with an older stamp; the node
+		// then says which one it holds, and gets the difference from that.
+		s.ns[5].agent.Set(func(n *trunk.NodeState) { n.Endpoint.Slots++ })
+		pass(1600 * time.Millisecond)
+		s.do(func() { s.m.courier("n0").view -= 1 })
+		e.mu.Lock()
+		n = len(e.views)
+		e.drop = false
+		e.mu.Unlock()
+		pass(time.Second)
+		for _, v := range e.views[n:] {
+			qt.Assert(t, v.Base > 0, qt.IsTrue, qt.Commentf("a whole view was sent"))
+		}
+		qt.Assert(t, a.View().Stamp, qt.Equals, s.st.v.Stamp)
+		e.mu.Lock()
+		e.drop = true
+		e.mu.Unlock()
+		for i := range keepViews + 4 {
 			s.ns[4+i%8].agent.Set(func(n *trunk.NodeState) { n.Endpoint.Slots++ })
 			pass(600 * time.Millisecond)
 		}
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -83,7 +83,7 @@
 	shunned map[string]time.Duration
 }
 
-const keepViews = 8
+const keepViews = 24
 
 // courier is what the master knows that one life of a node has.
 type courier struct {
@@ -655,7 +655,12 @@
 			}
 			return
 		}
+		// What it holds is told: a newer one than this, or one that this does not
+		// stand on.
 		c.view = 0
+		if r.Epoch == ep {
+			c.view = r.Stamp
+		}
 	})
 }
 
