--- a/internal/supervisor/delta_test.go
+++ b/internal/supervisor/delta_test.go
@@ -137,7 +137,14 @@
 		// then says which one it holds, and gets the difference from that.
 		s.ns[5].agent.Set(func(n *trunk.NodeState) { n.Endpoint.Slots++ })
 		pass(1600 * time.Millisecond)
-		s.do(func() { s.m.courier("n0").view -= 1 })
+		for older := false; !older; pass(time.Millisecond) {
+			s.do(func() {
+				if c := s.m.courier("n0"); !c.busy {
+					c.view--
+					older = true
+				}
+			})
+		}
 		e.mu.Lock()
 		n = len(e.views)
 		e.drop = false
