A core member sends a call on to its shard's owner instead of redirecting the caller

A call that found nobody is tried again and answered 503; one that was sent and not answered is 500. Watches go the same way. The design had weighed this the other way round for callers 1 to 3 ms away.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -281,6 +281,7 @@
 	is := &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute}
 	go is.Serve(inner)
 	api := desk.NewCore(c.svc, 650*time.Millisecond)
+	api.Near = trunk.Transport(200*time.Millisecond, 700*time.Millisecond, 20*time.Second, 32)
 	api.Acked = func(stamp uint64) { p.trace(tracer.Config, "acknowledged", c.board.Epoch0(), stamp) }
 	cs := &http.Server{Handler: api, IdleTimeout: time.Minute, ReadHeaderTimeout: 5 * time.Second}
 	go cs.Serve(ctl)
--- a/internal/desk/beats.go
+++ b/internal/desk/beats.go
@@ -25,8 +25,8 @@
 
 func NewBeats(s *subscriber.Desk) *Beats {
 	b := &Beats{sub: s}
-	b.add("PUT /-/endpoints/{}", handle(b.beat))
-	b.add("DELETE /-/endpoints/{}", handle(b.leave))
+	b.add("PUT /-/endpoints/{}", handle(nil, b.beat))
+	b.add("DELETE /-/endpoints/{}", handle(nil, b.leave))
 	return b
 }
 
--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -24,6 +24,7 @@
 	maxConfig  = 32 << 20
 	keepTaken  = 256
 	mostSteps  = 192 << 10
+	watchMost  = time.Minute
 )
 
 type Core struct {
@@ -31,7 +32,9 @@
 	Svc     *numbering.Service
 	Patient time.Duration
 	Step    time.Duration
-	Acked   func(stamp uint64)
+	// Near reaches the other members; without it callers are redirected.
+	Near  http.RoundTripper
+	Acked func(stamp uint64)
 
 	mu   sync.Mutex
 	last dialplan.Doc
@@ -80,14 +83,14 @@
 
 func NewCore(s *numbering.Service, patient time.Duration) *Core {
 	c := &Core{Svc: s, Patient: patient, Step: 20 * time.Millisecond}
-	c.add("POST /-/locks/{}", handle(c.take))
-	c.add("PUT /-/locks/{}", handle(c.renew))
-	c.add("DELETE /-/locks/{}", handle(c.drop))
-	c.add("POST /-/numbers/{}", handle(c.number))
-	c.add("PUT /-/cells/{}", handle(c.put))
-	c.add("GET /-/cells/{}", handle(c.get))
-	c.add("GET /-/watch/{}", handle(c.watch))
-	c.add("GET /-/configuration", handle(c.config))
+	c.add("POST /-/locks/{}", handle(c, c.take))
+	c.add("PUT /-/locks/{}", handle(c, c.renew))
+	c.add("DELETE /-/locks/{}", handle(c, c.drop))
+	c.add("POST /-/numbers/{}", handle(c, c.number))
+	c.add("PUT /-/cells/{}", handle(c, c.put))
+	c.add("GET /-/cells/{}", handle(c, c.get))
+	c.add("GET /-/watch/{}", handle(c, c.watch))
+	c.add("GET /-/configuration", handle(c, c.config))
 	c.add("PUT /-/configuration", c.putConfig)
 	c.add("PATCH /-/configuration", c.patchConfig)
 	return c
@@ -226,7 +229,7 @@
 			return verdict{out: malformed, why: "waitMs is no number of milliseconds"}
 		}
 	}
-	wait := min(time.Duration(ms)*time.Millisecond, time.Minute)
+	wait := min(time.Duration(ms)*time.Millisecond, watchMost)
 	e, v, done := at(d, c, d.Svc.Shard(c.id), func(x context.Context) (numbering.Events, error) { return d.Svc.Watch(x, c.id, after, wait) })
 	if !done {
 		return v
--- a/internal/desk/outcome.go
+++ b/internal/desk/outcome.go
@@ -108,13 +108,14 @@
 const smallBody = 1 << 20
 
 // handle joins a pair of types to a call: the body is read as Q, and R or a
-// verdict answers.
-func handle[Q any](f func(c call, q Q) verdict) func(http.ResponseWriter, call) {
+// verdict answers. What belongs to another member is settled with it.
+func handle[Q any](d *Core, f func(c call, q Q) verdict) func(http.ResponseWriter, call) {
 	return func(w http.ResponseWriter, c call) {
 		var q Q
+		var b []byte
 		if c.r.Method != http.MethodGet && c.r.Method != http.MethodDelete || c.r.ContentLength > 0 {
-			b, err := body(w, c.r, smallBody)
-			if err != nil {
+			var err error
+			if b, err = body(w, c.r, smallBody); err != nil {
 				write(w, verdict{out: tooBig(err)})
 				return
 			}
@@ -125,7 +126,7 @@
 				}
 			}
 		}
-		write(w, f(c, q))
+		d.settle(w, c, b, f(c, q), func() verdict { return f(c, q) })
 	}
 }
 
