--- a/internal/desk/forward.go
+++ b/internal/desk/forward.go
@@ -8,7 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"strings"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -73,10 +73,9 @@
 		return
 	}
 	end := time.Now().Add(d.Patient)
-	extra := time.Duration(0)
-	if strings.Contains(c.r.URL.RawQuery, "waitMs=") {
-		extra = watchMost
-	}
+	// A watch may take its wait longer.
+	ms, _ := strconv.ParseUint(c.r.URL.Query().Get("waitMs"), 10, 32)
+	extra := min(time.Duration(ms)*time.Millisecond, watchMost)
 	for hops := 0; v.out == elsewhere && hops < mostHops; {
 		p, x, s := d.sendOn(c, v.to, b, extra)
 		switch s {
