--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -144,13 +144,6 @@
 	return n - max(n/spared, 1)
 }
 
-// HotMost tells how many slots reads of hot keys may hold now.
-func (d *Desk) HotMost() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.hotMost(d.o.Now())
-}
-
 func New(o Options) *Desk {
 	if o.Now == nil {
 		o.Now = time.Now
--- a/internal/subscriber/subscriber_test.go
+++ b/internal/subscriber/subscriber_test.go
@@ -213,6 +213,6 @@
 		qt.Assert(t, d.Load().Running, qt.Equals, 0)
 		// With nobody else about, all slots may be theirs.
 		time.Sleep(2 * sparedFor)
-		qt.Assert(t, d.HotMost(), qt.Equals, 8)
+		qt.Assert(t, d.hotMost(time.Now()), qt.Equals, 8)
 	})
 }
--- a/internal/switchboard/hot.go
+++ b/internal/switchboard/hot.go
@@ -87,14 +87,6 @@
 	}
 }
 
-// Width is over how many endpoints a key's reads go now.
-func (p *Pools) Width(key uint64) int {
-	if h := p.cur.Load().hot[key]; h != nil {
-		return h.width
-	}
-	return 1
-}
-
 // isHot tells that a key's reads are spread.
 func (p *Pools) isHot(key uint64) bool { return key != 0 && p.cur.Load().hot[key] != nil }
 
