--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -272,7 +272,7 @@
 		s.heldUntil = 0
 		s.oks = map[string]bool{}
 		s.best, s.bestAt, s.bestSt = nil, s.epoch, s.stamp
-		q.Asks = append(q.Asks, &trunk.Ask{Shard: uint32(s.ix), Epoch: e, HaveEpoch: s.epoch, HaveStamp: s.stamp})
+		q.Asks = append(q.Asks, s.ask())
 		b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: uint32(s.ix), Epoch: e, By: b.me.Id}}, func(err error) {
 			if err != nil {
 				if s.role == asking && s.asked == e {
@@ -288,6 +288,11 @@
 	}
 }
 
+// ask is the question for a promise that the shard is asked under now.
+func (s *shard) ask() *trunk.Ask {
+	return &trunk.Ask{Shard: uint32(s.ix), Epoch: s.asked, HaveEpoch: s.epoch, HaveStamp: s.stamp}
+}
+
 // askAgain repeats what is still asked to the members that have not promised: a
 // handover's word may have reached them after the question.
 func (b *Board) askAgain() {
@@ -296,7 +301,7 @@
 		var asks []*trunk.Ask
 		for _, s := range b.shards {
 			if s.role == asking && !s.oks[p.m.Id] && now-s.since > b.o.Beat/2 {
-				asks = append(asks, &trunk.Ask{Shard: uint32(s.ix), Epoch: s.asked, HaveEpoch: s.epoch, HaveStamp: s.stamp})
+				asks = append(asks, s.ask())
 			}
 		}
 		if len(asks) > 0 && now-p.askedAt > b.o.Beat/2 {
--- a/internal/replay/forecast.go
+++ b/internal/replay/forecast.go
@@ -125,9 +125,9 @@
 	Coverage float64
 }
 
-// Happened gathers how the flows of a record were carried under one
+// happened gathers how the flows of a record were carried under one
 // configuration.
-func Happened(c *trunk.Carried, stamp uint64, byNode bool, settle time.Duration) (map[Flow]*Shares, int) {
+func happened(c *trunk.Carried, stamp uint64, byNode bool, settle time.Duration) (map[Flow]*Shares, int) {
 	a := atlasOf(c)
 	out := map[Flow]*Shares{}
 	other := 0
@@ -213,7 +213,7 @@
 	if stamp == 0 || b.Any {
 		stamp = newest(c)
 	}
-	live, other := Happened(c, stamp, f.ByNode, b.Settle)
+	live, other := happened(c, stamp, f.ByNode, b.Settle)
 	out := &Compared{Flows: []ComparedFlow{}, Outside: []Outside{}, Unseen: []Flow{}, New: []Flow{}, Few: []Flow{}, Before: other}
 	r := &Report{}
 	r.coverage(c)
--- a/internal/switchboard/hot.go
+++ b/internal/switchboard/hot.go
@@ -75,10 +75,9 @@
 		}
 		h := &hot{width: int(k.Width), was: 1, at: now}
 		if o := old.hot[k.Key]; o != nil {
-			switch {
-			case o.width == h.width:
+			if o.width == h.width {
 				h.was, h.at = o.was, o.at
-			default:
+			} else {
 				h.was = min(o.width, h.width)
 			}
 		}
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -316,11 +316,11 @@
 	}
 	now := p.clock()
 	tryGrey := w.pure && len(w.tried) == 0 && p.draw() < trickle
+	far := p.far
+	if w.heavy {
+		far = p.heavy
+	}
 	if w.key != 0 && len(w.tried) == 0 && !tryGrey {
-		far := p.far
-		if w.heavy {
-			far = p.heavy
-		}
 		if r := p.pickHome(y, w, now, far, usualWork(y.all)); r != nil {
 			return r
 		}
@@ -328,10 +328,6 @@
 	if len(y.all) > 0 && y.all[0].direct() {
 		return p.pickDirect(y, w, now, tryGrey)
 	}
-	far := p.far
-	if w.heavy {
-		far = p.heavy
-	}
 	usual := usualWork(y.all)
 	if tryGrey {
 		for _, r := range y.home {
