--- a/cmd/corkcove/tools.go
+++ b/cmd/corkcove/tools.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -101,6 +103,7 @@
 		fmt.Fprintf(&b, "%-7s %-24s member=%v disk=%v roll %d of %d, %d of %d shards with an owner\n", role, s.Node, s.Member, s.DiskSound,
 			s.Roll.GetStamp(), len(s.Roll.GetMembers()), own, len(s.Shards))
 	}
+	b.WriteString(shardText(ss))
 	m := ss[0]
 	if !m.Master {
 		b.WriteString("no master now\n")
@@ -123,6 +126,53 @@
 	return nil
 }
 
+// shardText tells who owns what, how far the copies are, and what may be lost.
+func shardText(ss []*trunk.StatusResp) string {
+	var b strings.Builder
+	lose, learners := map[uint32]int32{}, map[string]bool{}
+	for _, s := range ss {
+		for _, l := range s.Shards {
+			if !l.Owned || l.LeaseMs == 0 {
+				continue
+			}
+			lose[l.Shard] = l.MayLose
+			fmt.Fprintf(&b, "shard %-2d owned by %-22s epoch %d, version %d, committed %d, lease for %d ms, may lose %d more", l.Shard, s.Node, l.Epoch, l.Stamp, l.Committed, l.LeaseMs, l.MayLose)
+			for _, c := range l.Copies {
+				if c.Learner {
+					learners[c.Addr] = true
+				}
+				switch {
+				case !c.Reached:
+					fmt.Fprintf(&b, "; %s not reached", c.Addr)
+				case !c.Known:
+					fmt.Fprintf(&b, "; %s has an earlier epoch", c.Addr)
+				case c.Behind > 0:
+					fmt.Fprintf(&b, "; %s is %d behind", c.Addr, c.Behind)
+				case c.Leaving:
+					fmt.Fprintf(&b, "; %s is leaving", c.Addr)
+				case !c.Sound:
+					fmt.Fprintf(&b, "; %s would not take over", c.Addr)
+				}
+			}
+			b.WriteString("\n")
+		}
+	}
+	if len(ss[0].Shards) > len(lose) {
+		fmt.Fprintf(&b, "%d of %d shards are served by none of those who answered\n", len(ss[0].Shards)-len(lose), len(ss[0].Shards))
+	}
+	least := int32(1 << 30)
+	for _, n := range lose {
+		least = min(least, n)
+	}
+	if len(lose) > 0 {
+		fmt.Fprintf(&b, "the core may lose %d more members now\n", max(least, 0))
+	}
+	for _, a := range slices.Sorted(maps.Keys(learners)) {
+		fmt.Fprintf(&b, "learner %s waits for a place\n", a)
+	}
+	return b.String()
+}
+
 func (t *tool) setState(node, state string) error {
 	if !supervisor.UserState(state) {
 		return fmt.Errorf("%q is no state: give up, maintenance, retired or down", state)
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -528,7 +528,9 @@
 
 func (b *Board) Epoch(i int) uint64 { return b.shards[i].epoch }
 
-// Lines tells of each shard what this member knows.
+// Lines tells of each shard what this member knows; of those it owns, also how
+// far the copies are and how many members may be lost with the rest still a
+// majority that holds all.
 func (b *Board) Lines() []*trunk.ShardLine {
 	var out []*trunk.ShardLine
 	for _, s := range b.shards {
@@ -536,11 +538,31 @@
 		if m, ok := b.Owner(s.ix); ok {
 			l.Owner = m.Addr
 		}
+		if s.role == owner || s.role == handing {
+			b.owned(s, l)
+		}
 		out = append(out, l)
 	}
 	return out
 }
 
+func (b *Board) owned(s *shard, l *trunk.ShardLine) {
+	l.Owned, l.Committed, l.LeaseMs = true, s.commit, int64(max(s.lease-b.now(), 0)/time.Millisecond)
+	whole := 1
+	for _, p := range b.others() {
+		c := &trunk.CopyLine{Addr: p.m.Addr, Learner: b.peers[p.m.Id] == nil, Reached: p.ever && b.now()-p.heard < b.o.Hold, Sound: p.sound, Leaving: p.leaving,
+			Known: p.known[s.ix] == s.epoch}
+		if c.Behind = s.stamp; c.Known {
+			c.Behind = s.stamp - min(p.acked[s.ix], s.stamp)
+		}
+		if c.Reached && c.Known && p.acked[s.ix] >= s.commit && !c.Learner {
+			whole++
+		}
+		l.Copies = append(l.Copies, c)
+	}
+	l.MayLose = int32(whole - b.majority())
+}
+
 // Held tells, from any goroutine, whether this member serves shard 0 under a
 // hold right now.
 func (b *Board) Held() bool { return int64(b.now()) < b.held.Load() }
