Members out of touch are no relays: nodes behind them get changes at once

Cause: a relay that is cut off held its part of the nodes back for 1.3 s, and again every 1.5 s. Ruled out: shorter waits, which slow relays need.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -251,7 +251,7 @@
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
 		Hot: hotOptions(o.Hot),
 		Me:  o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
-		Held: func() bool { return c.board.Held() },
+		Held: func() bool { return c.board.Held() }, Reached: func(a string) bool { return c.board.Reached(a) },
 	}, exchange.NewLoop(), lines, c)
 	hist := options.Secs(o.Terms.Bounds.HistoryS)
 	c.board, err = exchange.New(exchange.Options{
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -208,6 +208,7 @@
 
 	held  atomic.Int64
 	epoch atomic.Uint64
+	touch atomic.Pointer[map[string]bool]
 }
 
 func New(o Options, w Wire, bk Book, recs [][]byte) (*Board, error) {
@@ -569,3 +570,20 @@
 
 // Epoch0 is the epoch under which this member last served shard 0.
 func (b *Board) Epoch0() uint64 { return b.epoch.Load() }
+
+// Reached tells, from any goroutine, whether this member and the one at addr
+// have heard each other within a lease.
+func (b *Board) Reached(addr string) bool {
+	m := b.touch.Load()
+	return m != nil && (*m)[addr]
+}
+
+func (b *Board) noteReached() {
+	m := map[string]bool{}
+	for _, p := range b.line {
+		if b.alive(p.m.Id) {
+			m[p.m.Addr] = true
+		}
+	}
+	b.touch.Store(&m)
+}
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -26,6 +26,7 @@
 	if b.urgent || now-b.lastHold >= b.o.Beat || alone && now-b.lastHold >= b.o.Beat/5 {
 		b.lastHold = now
 		b.beat()
+		b.noteReached()
 	}
 	for _, s := range b.shards {
 		switch s.role {
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -37,9 +37,12 @@
 	Now        func() time.Duration
 	// Held tells whether shard 0 is held right now; a master that is not sure
 	// of it says nothing to anybody.
-	Held  func() bool
-	Note  func(f string, a ...any)
-	Trace func(what string, epoch, stamp uint64)
+	Held func() bool
+	// Reached tells whether another member is in touch; one that is not brings
+	// nothing to any node.
+	Reached func(addr string) bool
+	Note    func(f string, a ...any)
+	Trace   func(what string, epoch, stamp uint64)
 }
 
 func (o Options) rules() rules { return rules{o.Window, o.Crashes, o.Fails, o.Silent} }
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -121,7 +121,7 @@
 	var out []string
 	now := m.o.Now()
 	for _, x := range m.roll.GetMembers() {
-		if x.Addr != m.o.Me && now >= m.shunned[x.Addr] && len(out) < mostRelays {
+		if x.Addr != m.o.Me && now >= m.shunned[x.Addr] && (m.o.Reached == nil || m.o.Reached(x.Addr)) && len(out) < mostRelays {
 			out = append(out, x.Addr)
 		}
 	}
--- a/internal/supervisor/relay_test.go
+++ b/internal/supervisor/relay_test.go
@@ -115,6 +115,24 @@
 	})
 }
 
+// What the board has not heard of within a lease is asked to bring nothing.
+func TestMemberOutOfTouchIsNoRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, rs, roll := crowd(t, 60, 3)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		rs[0].down = true
+		s.m.o.Reached = func(a string) bool { return a != "core0" }
+		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), roll) })
+		pass(time.Second)
+		s.all(t, 5)
+		s.do(func() { s.m.SetConfig(conf(6, "e")) })
+		pass(400 * time.Millisecond)
+		s.all(t, 6)
+		qt.Check(t, rs[0].asked, qt.Equals, 0)
+	})
+}
+
 func TestRelayThatIsSilentOrCutOffIsGoneRound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, rs, roll := crowd(t, 60, 3)
