Answers held to request, seal, status and end on each hop; bodies bounded by time

Cause: an outbound node took what came from the node beside an endpoint unchecked; an endpoint's 503/429/408 without X-Not-Run went back as a promise; a 2xx with X-Not-Run was believed and the request sent again; a 2xx that ends with its connection passed for whole; a 101 went through. The flag that a body is in use was read while another goroutine wrote it. A body that stood still was waited for past the time of its request, since net/http waits for its reader.

Ruled out: net/http sending again by itself: a body that can't be rewound keeps it from doing so, also with an Idempotency-Key.

--- a/internal/desk/forward.go
+++ b/internal/desk/forward.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -19,7 +17,7 @@
 const (
 	sendOnWait = 850 * time.Millisecond
 	mostHops   = 2
-	mostAnswer = 8 << 20
+	mostAnswer = maxConfig
 )
 
 // sentOn is what became of a call that was sent on to its shard's owner.
@@ -51,15 +49,14 @@
 	q.Header.Set(hdrOnce, "1")
 	p, err := d.Near.RoundTrip(q)
 	if err != nil {
-		var oe *net.OpError
-		if errors.As(err, &oe) && oe.Op == "dial" || !sent.Load() {
+		if !sent.Load() {
 			return nil, nil, notSent
 		}
 		return nil, nil, unclear
 	}
 	defer p.Body.Close()
-	x, err := io.ReadAll(io.LimitReader(p.Body, mostAnswer))
-	if err != nil {
+	x, err := io.ReadAll(io.LimitReader(p.Body, mostAnswer+1))
+	if err != nil || len(x) > mostAnswer {
 		return nil, nil, unclear
 	}
 	return p, x, answered
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -446,7 +446,9 @@
 
 func (x *ride) start() {
 	heavy := switchboard.Heavy(x.route.Kind, x.t.Body)
+	was := x.course
 	x.course = switchboard.NewCourse(x.n.pools, x.n.budget, x.route, x.f.Service, heavy)
+	x.course.After(was)
 	x.course.Only(x.only)
 	path, query, _ := strings.Cut(x.t.Target, "?")
 	if r := x.route; r.Key.In != "" {
--- a/internal/switchboard/appline.go
+++ b/internal/switchboard/appline.go
@@ -56,27 +56,22 @@
 			l.shy.Store(time.Now().Add(shyFor).UnixNano())
 		}
 		switch {
+		case sent.Load():
+			return nil, saidBroken, err
 		case dialFailed(err):
 			return nil, saidDialFailed, err
-		case !sent.Load():
-			return nil, saidNothingSent, err
 		}
-		return nil, saidBroken, err
+		return nil, saidNothingSent, err
 	}
-	if p.Header.Get(hdrID) != id {
-		p.Body.Close()
-		l.idle()
-		return nil, saidBroken, Error.New("another request's answer")
-	}
-	if _, turned := p.Header[hdrNotRun]; turned || p.StatusCode == http.StatusMisdirectedRequest {
+	if _, said := p.Header[hdrNotRun]; p.Header.Get(hdrID) == id && (said && p.StatusCode >= 400 || p.StatusCode == http.StatusMisdirectedRequest) {
 		stream(io.Discard, io.LimitReader(p.Body, 4<<10))
 		p.Body.Close()
 		return p, saidTurned, Error.New("%s", strconv.Itoa(p.StatusCode))
 	}
-	if p.StatusCode/100 == 2 && p.Header.Get(hdrSeal) == "" || p.Header.Get("Content-Encoding") != "" {
+	if why := spoilt(p, id, repeatable); why != "" {
 		p.Body.Close()
 		l.idle()
-		return nil, saidBroken, Error.New("no seal")
+		return nil, saidBroken, Error.New("%s", why)
 	}
 	return p, saidAnswer, nil
 }
--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -150,6 +151,103 @@
 	}
 }
 
+// spoilt tells why an answer can't be taken for the endpoint's own whole answer
+// to the request id.
+func spoilt(p *http.Response, id string, repeatable bool) string {
+	good := p.StatusCode/100 == 2
+	switch {
+	case p.Header.Get(hdrID) != id:
+		return "another request's answer"
+	case p.StatusCode < 200 || p.StatusCode > 599:
+		return "no final status"
+	case good && p.Header.Get(hdrSeal) == "":
+		return "no seal"
+	case p.Header.Get("Content-Encoding") != "":
+		return "an encoded body"
+	case good && p.ContentLength < 0 && p.Body != http.NoBody && len(p.TransferEncoding) == 0:
+		return "a body whose end can't be told from a break"
+	case !repeatable && Promises(p.StatusCode):
+		return "a promise by an endpoint that may have run it"
+	}
+	return ""
+}
+
+// overrun is how much longer than the request may take its body is read.
+const overrun = 20 * time.Millisecond
+
+// intake reads a request's body for no longer than the request may take.
+type intake struct {
+	r    io.Reader
+	c    *http.ResponseController
+	done atomic.Bool
+}
+
+func newIntake(w http.ResponseWriter, r io.Reader, due time.Time) *intake {
+	k := &intake{r: r, c: http.NewResponseController(w)}
+	k.c.SetReadDeadline(due.Add(overrun))
+	return k
+}
+
+func (k *intake) Read(b []byte) (int, error) {
+	n, err := k.r.Read(b)
+	if errors.Is(err, io.EOF) {
+		k.done.Store(true)
+	}
+	return n, err
+}
+
+// lift ends the bound once the body is in: what is read then is the next
+// request.
+func (k *intake) lift() {
+	if k != nil && k.done.Load() {
+		k.c.SetReadDeadline(time.Time{})
+	}
+}
+
+var errTaken = Error.New("another dispatch has this body")
+
+// rest is the part of a body that can't be read again. The dispatch under way
+// may send it; once it has begun, or is over, no other can.
+type rest struct {
+	r     io.Reader
+	mu    sync.Mutex
+	turn  int
+	begun bool
+}
+
+type part struct {
+	*rest
+	turn int
+}
+
+func (o *rest) part() part {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return part{o, o.turn}
+}
+
+func (p part) Read(b []byte) (int, error) {
+	p.mu.Lock()
+	mine := p.turn == p.rest.turn
+	p.begun = p.begun || mine
+	p.mu.Unlock()
+	if !mine {
+		return 0, errTaken
+	}
+	return p.r.Read(b)
+}
+
+// over ends the dispatch under way and tells whether it began to read.
+func (o *rest) over() bool {
+	if o == nil {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.turn++
+	return o.begun
+}
+
 func dialFailed(err error) bool {
 	var oe *net.OpError
 	return errors.As(err, &oe) && oe.Op == "dial"
@@ -157,7 +255,7 @@
 
 func deadline(h http.Header) (time.Duration, bool) {
 	n, err := strconv.ParseFloat(h.Get(hdrDeadline), 64)
-	if err != nil || n < 0 || n > 1e9 {
+	if err != nil || !(n >= 0 && n <= 1e9) {
 		return 0, false
 	}
 	return time.Duration(n * float64(time.Millisecond)), true
@@ -187,9 +285,9 @@
 }
 
 // finish writes the body; a body that breaks off breaks off the stream too.
-func finish(w http.ResponseWriter, p *http.Response, b []byte, whole bool, pc *Pacer) {
+func finish(w http.ResponseWriter, p *http.Response, b []byte, whole bool, pc *Pacer, due time.Time) {
 	if len(b) > 0 {
-		if err := pc.write(w, b); err != nil {
+		if err := pc.write(w, b, due); err != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
--- a/internal/switchboard/course.go
+++ b/internal/switchboard/course.go
@@ -1,6 +1,7 @@
 package switchboard
 
 import (
+	"slices"
 	"time"
 
 	"corkcove/internal/dialplan"
@@ -104,7 +105,7 @@
 		return nil, Stop
 	}
 	if c.full == shortTries {
-		c.tried = c.ran
+		c.tried = slices.Clone(c.ran)
 	}
 	c.tries++
 	r := c.choose()
@@ -245,6 +246,9 @@
 	}
 }
 
+// After counts the arrivals of an earlier course of the same request.
+func (c *Course) After(was Course) { c.arrivals = was.arrivals }
+
 // Only keeps the course to one endpoint.
 func (c *Course) Only(id string) { c.only = id }
 
--- a/internal/switchboard/dispatch.go
+++ b/internal/switchboard/dispatch.go
@@ -37,7 +37,9 @@
 func (t *trip) dispatch() bool {
 	t.b.o.Budget.Earn(t.to)
 	for n := 0; ; n++ {
+		was := t.course
 		t.course = NewCourse(t.b.o.Pools, t.b.o.Budget, t.route, t.to, t.heavy())
+		t.course.After(was)
 		t.course.only = t.only
 		t.course.Key(t.key)
 		o, done := t.run()
@@ -45,7 +47,7 @@
 			return true
 		}
 		// The session's instance is leaving and has not run this request.
-		if t.only == "" || t.course.mayRun || t.started || n >= MoveTries || o != refused {
+		if t.only == "" || t.course.mayRun || t.rest.over() || n >= MoveTries || o != refused {
 			return t.give(o)
 		}
 		if ok, _ := t.b.o.Pools.Sits(t.to, t.only); ok {
@@ -77,9 +79,9 @@
 			return 0, t.relay(y)
 		}
 		if y.res == quit {
-			return 0, true
+			t.hangUp()
 		}
-		if o, end := c.got(y.r, y.res, t.started); end {
+		if o, end := c.got(y.r, y.res, t.rest.over()); end {
 			return o, false
 		}
 	}
@@ -192,9 +194,9 @@
 
 func (t *trip) failed(ctx context.Context) result {
 	switch {
-	case t.r.Context().Err() != nil:
+	case t.gone():
 		return quit
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || t.past():
 		return timeout
 	}
 	return broken
@@ -248,18 +250,10 @@
 		return q
 	}
 	out["Expect"] = []string{"100-continue"}
-	q.Body = once{io.MultiReader(bytes.NewReader(t.body), started{t})}
+	q.Body = once{io.MultiReader(bytes.NewReader(t.body), t.rest.part())}
 	return q
 }
 
-// started notes that the part of the body that can't be sent again is in use.
-type started struct{ t *trip }
-
-func (s started) Read(b []byte) (int, error) {
-	s.t.started = true
-	return s.t.rest.Read(b)
-}
-
 // sendDirect dials the endpoint itself.
 func (t *trip) sendDirect(ctx context.Context, r *remote) (*http.Response, result) {
 	out := t.head(r)
@@ -274,7 +268,7 @@
 		}
 		return nil, turned
 	case saidDialFailed, saidNothingSent:
-		if t.r.Context().Err() != nil {
+		if t.gone() {
 			return nil, quit
 		}
 		return nil, unmet
@@ -337,7 +331,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
 	p, err := t.b.o.Line.RoundTrip(t.asked(ctx, r.inbound, out))
 	if err != nil {
-		if t.r.Context().Err() != nil {
+		if t.gone() {
 			return nil, quit
 		}
 		if !sent.Load() && (dialFailed(err) || ctx.Err() == nil) {
@@ -361,6 +355,12 @@
 		p.Body.Close()
 		return nil, t.sorted(r, o, p.Header.Get(hdrReason))
 	}
+	if why := spoilt(p, t.r.Header.Get(hdrID), t.route.Kind.Repeatable()); why != "" {
+		p.Body.Close()
+		r.miss()
+		t.b.o.Note("node beside %s: %s", r.id, why)
+		return nil, broken
+	}
 	return p, answered
 }
 
@@ -399,7 +399,8 @@
 	}
 	defer y.p.Body.Close()
 	t.rec.end(y.p.StatusCode, "")
+	t.in.lift()
 	begin(t.w, t.r.Method, y.p, y.b, y.whole)
-	finish(t.w, y.p, y.b, y.whole, t.b.o.Pacer)
+	finish(t.w, y.p, y.b, y.whole, t.b.o.Pacer, t.due)
 	return true
 }
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -74,6 +74,7 @@
 	rank  int
 	due   time.Time
 	ctx   context.Context
+	in    *intake
 	free  func()
 	clean []func()
 }
@@ -81,6 +82,7 @@
 func (v *visit) later(f func()) { v.clean = append(v.clean, f) }
 
 func (v *visit) say(outcome, reason string) bool {
+	v.in.lift()
 	h := v.w.Header()
 	h["Date"] = nil
 	h.Set(hdrOutcome, outcome)
@@ -180,6 +182,9 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: v.r.ContentLength, Body: once{v.r.Body}}).WithContext(v.ctx)
 	if v.r.ContentLength == 0 {
 		q.Body = once{strings.NewReader("")}
+	} else {
+		v.in = newIntake(v.w, v.r.Body, v.due)
+		q.Body = once{v.in}
 	}
 	t0 := time.Now()
 	p, s, err := n.o.Line.send(q, v.id, v.r.Header.Get(hdrOnce) == "")
@@ -237,9 +242,10 @@
 		v.free()
 	}
 	n.out.add(max(p.ContentLength, int64(len(b)))+600, time.Now())
+	v.in.lift()
 	v.w.Header().Set(hdrLoad, n.loadText())
 	begin(v.w, v.r.Method, p, b, whole)
-	finish(v.w, p, b, whole, n.o.Pacer)
+	finish(v.w, p, b, whole, n.o.Pacer, v.due)
 	if !whole {
 		n.o.Desk.Answered(v.life, time.Since(t0))
 	}
--- a/internal/switchboard/outbound.go
+++ b/internal/switchboard/outbound.go
@@ -142,10 +142,10 @@
 	ctx   context.Context
 	clean []func()
 
-	body    []byte
-	whole   bool
-	rest    io.Reader
-	started bool
+	body  []byte
+	whole bool
+	in    *intake
+	rest  *rest
 
 	fresh  bool
 	course Course
@@ -282,15 +282,23 @@
 		t.whole = true
 		return false
 	}
-	src := io.Reader(http.MaxBytesReader(t.w, t.r.Body, most))
-	b, whole, err := head(src, t.r.ContentLength, t.b.o.Peek)
+	t.in = newIntake(t.w, http.MaxBytesReader(t.w, t.r.Body, most), t.due)
+	b, whole, err := head(t.in, t.r.ContentLength, t.b.o.Peek)
 	if err != nil {
 		if _, ok := err.(*http.MaxBytesError); ok {
 			return t.answer(tooLarge)
 		}
+		if t.past() {
+			return t.answer(expired)
+		}
 		return t.answer(unknownBody)
 	}
-	t.body, t.whole, t.rest = b, whole, src
+	t.body, t.whole = b, whole
+	if whole {
+		t.in.lift()
+	} else {
+		t.rest = &rest{r: t.in}
+	}
 	return false
 }
 
@@ -301,11 +309,21 @@
 	return Heavy(t.route.Kind, int64(len(t.body)))
 }
 
+func (t *trip) past() bool { return !time.Now().Before(t.due) }
+
+// gone tells that the user agent has left, not that its time is over.
+func (t *trip) gone() bool { return t.r.Context().Err() != nil && !t.past() }
+
+// hangUp ends a request whose user agent has left. To return without an answer
+// would be an empty success to one that has closed its sending side only.
+func (t *trip) hangUp() { panic(http.ErrAbortHandler) }
+
 func (t *trip) give(o outcome) bool {
-	if t.r.Context().Err() != nil {
-		return true
+	if t.gone() {
+		t.hangUp()
 	}
-	return t.answer(t.course.end(o, time.Now().After(t.due)))
+	t.in.lift()
+	return t.answer(t.course.end(o, t.past()))
 }
 
 func (t *trip) pause(d time.Duration) bool {
--- a/internal/switchboard/pacer.go
+++ b/internal/switchboard/pacer.go
@@ -32,18 +32,20 @@
 type body struct {
 	key float64
 	ch  chan bool
+	ix  int
 }
 
 type bodies []*body
 
 func (q bodies) Len() int           { return len(q) }
 func (q bodies) Less(i, j int) bool { return q[i].key < q[j].key }
-func (q bodies) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-func (q *bodies) Push(x any)        { *q = append(*q, x.(*body)) }
+func (q bodies) Swap(i, j int)      { q[i], q[j] = q[j], q[i]; q[i].ix, q[j].ix = i, j }
+func (q *bodies) Push(x any)        { b := x.(*body); b.ix = len(*q); *q = append(*q, b) }
 func (q *bodies) Pop() any {
 	o := *q
 	x := o[len(o)-1]
 	*q = o[:len(o)-1]
+	x.ix = -1
 	return x
 }
 
@@ -81,16 +83,21 @@
 	return max(p.next.Sub(now), 0) + p.takes(p.bytes)
 }
 
-// enter waits for a large body's place on the link; it is given up by calling
-// what comes back, or by itself where the other side takes nothing.
-func (p *Pacer) enter(n int) func() {
+// enter waits for a large body's place on the link, until due; it is given up by
+// calling what comes back, or by itself where the other side takes nothing.
+func (p *Pacer) enter(n int, due time.Time) func() {
 	p.mu.Lock()
 	p.bytes += n
 	if p.busy {
 		b := &body{key: float64(n) + time.Since(p.t0).Seconds()*p.perS*ages, ch: make(chan bool)}
 		heap.Push(&p.queue, b)
 		p.mu.Unlock()
-		<-b.ch
+		if !p.await(b, due) {
+			p.mu.Lock()
+			p.bytes -= n
+			p.mu.Unlock()
+			return func() {}
+		}
 	} else {
 		p.busy = true
 		p.mu.Unlock()
@@ -112,8 +119,27 @@
 	}
 }
 
+// await tells whether b's place came before it was due.
+func (p *Pacer) await(b *body, due time.Time) bool {
+	t := time.NewTimer(time.Until(due))
+	defer t.Stop()
+	select {
+	case <-b.ch:
+		return true
+	case <-t.C:
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if b.ix < 0 {
+		return true
+	}
+	heap.Remove(&p.queue, b.ix)
+	return false
+}
+
 // write writes b; a small one takes its share of the link and does not wait.
-func (p *Pacer) write(w io.Writer, b []byte) error {
+// Once it is due, it goes out at once.
+func (p *Pacer) write(w io.Writer, b []byte, due time.Time) error {
 	if p == nil || len(b) <= piece {
 		if p != nil {
 			p.turn(len(b), time.Now())
@@ -121,10 +147,10 @@
 		_, err := w.Write(b)
 		return err
 	}
-	defer p.enter(len(b))()
+	defer p.enter(len(b), due)()
 	for len(b) > 0 {
 		n := min(len(b), piece)
-		if d := p.turn(n, time.Now()); d > 0 {
+		if d := min(p.turn(n, time.Now()), time.Until(due)); d > 0 {
 			time.Sleep(d)
 		}
 		if _, err := w.Write(b[:n]); err != nil {
--- a/internal/switchboard/pacer_test.go
+++ b/internal/switchboard/pacer_test.go
@@ -27,20 +27,20 @@
 
 func TestLargeBodiesKeepToTheLinkAndSmallOnesPass(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := NewPacer(8)
+		p, late := NewPacer(8), time.Now().Add(time.Hour)
 		big, small := &stamped{t0: time.Now()}, &stamped{t0: time.Now()}
 		var wg sync.WaitGroup
 		for range 4 {
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				p.write(big, make([]byte, 225_000))
+				p.write(big, make([]byte, 225_000), late)
 			}()
 		}
 		time.Sleep(100 * time.Millisecond)
 		qt.Assert(t, p.behind(time.Now()) > 0, qt.IsTrue)
 		for range 10 {
-			p.write(small, make([]byte, 500))
+			p.write(small, make([]byte, 500), late)
 		}
 		qt.Assert(t, small.at[9], qt.Equals, 100*time.Millisecond)
 		wg.Wait()
@@ -49,8 +49,8 @@
 		qt.Assert(t, big.n, qt.Equals, 900_000)
 	})
 	synctest.Test(t, func(t *testing.T) {
-		p := NewPacer(8)
-		first := p.enter(100_000)
+		p, late := NewPacer(8), time.Now().Add(time.Hour)
+		first := p.enter(100_000, late)
 		var mu sync.Mutex
 		var order []int
 		var wg sync.WaitGroup
@@ -58,7 +58,7 @@
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
-				l := p.enter(n)
+				l := p.enter(n, late)
 				mu.Lock()
 				order = append(order, n)
 				mu.Unlock()
@@ -75,7 +75,7 @@
 	})
 	var none *Pacer
 	var b bytes.Buffer
-	qt.Assert(t, none.write(&b, make([]byte, 50_000)), qt.IsNil)
+	qt.Assert(t, none.write(&b, make([]byte, 50_000), time.Time{}), qt.IsNil)
 	qt.Assert(t, b.Len(), qt.Equals, 50_000)
 	qt.Assert(t, NewPacer(0) == nil, qt.IsTrue)
 }
--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -23,23 +23,32 @@
 
 // hall is a network in memory: addresses lead to listeners over pipes.
 type hall struct {
-	mu sync.Mutex
-	ls map[string]*pipes
+	mu   sync.Mutex
+	ls   map[string]*pipes
+	ends []net.Conn
 }
 
 type pipes struct {
 	ch   chan net.Conn
+	end  chan bool
 	addr string
 }
 
-func (p *pipes) Accept() (net.Conn, error) { return <-p.ch, nil }
-func (p *pipes) Close() error              { return nil }
-func (p *pipes) Addr() net.Addr            { return &net.TCPAddr{} }
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.ch:
+		return c, nil
+	case <-p.end:
+		return nil, net.ErrClosed
+	}
+}
+func (p *pipes) Close() error   { return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
 func (h *hall) listen(a string) *pipes {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	p := &pipes{ch: make(chan net.Conn), addr: a}
+	p := &pipes{ch: make(chan net.Conn), end: make(chan bool), addr: a}
 	h.ls[a] = p
 	return p
 }
@@ -53,11 +62,30 @@
 			return nil, &net.OpError{Op: "dial", Err: fmt.Errorf("refused")}
 		}
 		c, s := net.Pipe()
-		p.ch <- s
-		return c, nil
+		h.mu.Lock()
+		h.ends = append(h.ends, c, s)
+		h.mu.Unlock()
+		select {
+		case p.ch <- s:
+			return c, nil
+		case <-p.end:
+			return nil, &net.OpError{Op: "dial", Err: fmt.Errorf("refused")}
+		}
 	}}
 }
 
+// close ends all listeners and streams.
+func (h *hall) close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.ls {
+		close(p.end)
+	}
+	for _, c := range h.ends {
+		c.Close()
+	}
+}
+
 // endpoint answers each request on a stream by what act writes.
 type endpoint struct {
 	id   string
