An inbound node's slot is free at its request's time, also while nobody reads

Cause: an answer that is passed on as it comes was written without a bound, so that a machine cut off amid it held the slot until its stream ended.

Ruled out: lifting the bound by hand: the server does it with the answer's end.

Conclusion: such answers are written until the request is due.

--- a/internal/switchboard/common.go
+++ b/internal/switchboard/common.go
@@ -184,6 +184,12 @@
 	http.NewResponseController(w).SetReadDeadline(due.Add(overrun))
 }
 
+// writeBy bounds how long an answer may take to be written. The server lifts it
+// with the answer's end.
+func writeBy(w http.ResponseWriter, due time.Time) {
+	http.NewResponseController(w).SetWriteDeadline(due.Add(overrun))
+}
+
 var errTaken = Error.New("another dispatch has this body")
 
 // rest is the part of a body that can't be read again. The dispatch under way
--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -237,6 +237,8 @@
 	if whole {
 		n.o.Desk.Answered(v.life, time.Since(t0))
 		v.free()
+	} else {
+		writeBy(v.w, v.due)
 	}
 	n.out.add(max(p.ContentLength, int64(len(b)))+600, time.Now())
 	v.w.Header().Set(hdrLoad, n.loadText())
