--- a/internal/switchboard/inbound.go
+++ b/internal/switchboard/inbound.go
@@ -180,6 +180,8 @@
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, ContentLength: v.r.ContentLength, Body: once{v.r.Body}}).WithContext(v.ctx)
 	if v.r.ContentLength == 0 {
 		q.Body = once{strings.NewReader("")}
+	} else {
+		readBy(v.w, v.due)
 	}
 	t0 := time.Now()
 	p, s, err := n.o.Line.send(q, v.id, v.r.Header.Get(hdrOnce) == "")
@@ -235,11 +237,13 @@
 	if whole {
 		n.o.Desk.Answered(v.life, time.Since(t0))
 		v.free()
+	} else {
+		writeBy(v.w, v.due)
 	}
 	n.out.add(max(p.ContentLength, int64(len(b)))+600, time.Now())
 	v.w.Header().Set(hdrLoad, n.loadText())
 	begin(v.w, v.r.Method, p, b, whole)
-	finish(v.w, p, b, whole, n.o.Pacer)
+	finish(v.w, p, b, whole, n.o.Pacer, v.due)
 	if !whole {
 		n.o.Desk.Answered(v.life, time.Since(t0))
 	}
