Orders: taken ones are known for 4,096 versions, and found but unsafe is no promise

Cause: the record of taken orders lay inside the configuration's blob, held 256 entries and was copied with each change, so an older order that came again got 412. It left out the base, so one patch body on two bases was one order. What was found there from an earlier sending, but not yet safe, came out as 503 when the wait ended, though the earlier sending may yet take effect.

Now a Change carries `taken` beside `blob`; numbering.Table keeps versions and 16 bytes of each sum, dumps share them. Orders up to the newest forgotten version get 500, never 412. What the release before kept inside the blob is read from blobs, in states and in log entries alike. The look-up no longer unmarshals the blob.

Call by call, for an f that made no change and failed: Take (held by another) and Renew (lost) did nothing, so 503 is right; Take by the holder and a good Renew make a change, so 500. Release that found nothing to free may follow its own first sending: 500. Next within a reserved block gives out no number: 503. Put found there: 500; Put whose condition failed: 503 until safe, then 412. Pin makes no promise to a client: as it was. Order found, early or in the owner's step: 500; order not found, or overtaken: nothing was done, 503 until safe, then 412. Get, Watch and the read of a configuration do nothing: 503.

A kept configuration that can't be read is 500 and no longer a 4xx or an empty one.

Ruled out: look-up by version first (a body would be parsed before its redirect).

--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -1,10 +1,10 @@
 package desk
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"errors"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -20,9 +20,8 @@
 )
 
 const (
-	ConfigBlob = "configuration"
+	ConfigBlob = numbering.ConfigBlob
 	maxConfig  = 32 << 20
-	keepTaken  = 256
 	mostSteps  = 192 << 10
 	watchMost  = time.Minute
 )
@@ -246,30 +245,39 @@
 
 // Configuration
 
+// ReadConfig gives an empty configuration where there is none that can be read.
 func ReadConfig(t exchange.Table) *trunk.Config {
-	c := &trunk.Config{}
-	if b := t.Blob(ConfigBlob); b != nil {
-		if proto.Unmarshal(b.Data, c) != nil {
-			return &trunk.Config{}
-		}
+	c, err := decode(t.Blob(ConfigBlob))
+	if err != nil {
+		return &trunk.Config{}
 	}
 	return c
 }
 
-func (d *Core) current(ctx context.Context) (*trunk.Config, error) {
-	return numbering.Run(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, *trunk.Config) {
-		return nil, ReadConfig(t)
-	})
+func decode(b *trunk.Blob) (*trunk.Config, error) {
+	c := &trunk.Config{}
+	if err := proto.Unmarshal(b.GetData(), c); err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return c, nil
 }
 
 func (d *Core) config(c call, _ none) verdict {
-	x, v, done := at(d, c, 0, d.current)
+	b, v, done := at(d, c, 0, func(ctx context.Context) (*trunk.Blob, error) {
+		return numbering.Run(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, *trunk.Blob) {
+			return nil, t.Blob(ConfigBlob)
+		})
+	})
 	if !done {
 		return v
 	}
-	if x.Stamp == 0 {
+	if b == nil {
 		return verdict{out: absent, why: "no configuration yet"}
 	}
+	x, err := decode(b)
+	if err != nil {
+		return verdict{out: unsure}
+	}
 	doc, err := trunk.Unpack(x.Packed)
 	if err != nil {
 		return verdict{out: unsure}
@@ -295,11 +303,62 @@
 	return x, err
 }
 
-type taking struct {
-	out outcome
-	now uint64
+// order is one change that an operator wants. It is the same order if its
+// method, base, version and body are; an earlier release left out the base.
+type order struct {
+	on        uint64
+	sum, bare []byte
+}
+
+func newOrder(method string, on uint64, b []byte) order {
+	h := sha256.New()
+	io.WriteString(h, method+" "+dialplan.FormatStamp(on)+" ")
+	h.Write(b)
+	g := sha256.New()
+	io.WriteString(g, method+" ")
+	g.Write(b)
+	return order{on, h.Sum(nil)[:numbering.SumSize], g.Sum(nil)[:numbering.SumSize]}
+}
+
+func (o order) standing(t *numbering.Table) standing {
+	return standing{t.Blob(ConfigBlob), t.Taken(o.sum) || t.Taken(o.bare), t.Forgotten()}
 }
 
+// look reads, in one step, whether the order was taken and what is in force.
+func (d *Core) look(ctx context.Context, o order) (standing, error) {
+	return numbering.RunAgain(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, standing, bool) {
+		s := o.standing(t)
+		return nil, s, s.taken
+	})
+}
+
+// decide takes the order if what it was checked against is still in force.
+func (d *Core) decide(ctx context.Context, o order, next *trunk.Blob) (standing, error) {
+	return numbering.RunAgain(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, standing, bool) {
+		s := o.standing(t)
+		if s.taken || s.cur.GetStamp() != o.on {
+			return nil, s, s.taken
+		}
+		return &trunk.Change{Blob: next, Taken: &trunk.Taken{Stamp: next.Stamp, Sum: o.sum}}, standing{cur: next, taken: true}, false
+	})
+}
+
+// standing is how an order stands against the configuration in force.
+type standing struct {
+	cur       *trunk.Blob
+	taken     bool
+	forgotten uint64
+}
+
+func (s standing) verdict() verdict {
+	if s.taken {
+		return verdict{body: none{}}
+	}
+	return verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(s.cur.GetStamp())}
+}
+
+var errKept = Error.New("the configuration in force can't be read")
+
 func (d *Core) putConfig(w http.ResponseWriter, c call) {
 	d.change(w, c, func(b []byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
 		doc, err := dialplan.Read(b)
@@ -316,7 +375,7 @@
 			}
 			old, err := d.doc(cur)
 			if err != nil {
-				return dialplan.Doc{}, err
+				return dialplan.Doc{}, errKept
 			}
 			return old.With(p)
 		}, err
@@ -346,77 +405,76 @@
 		write(w, verdict{out: malformed, why: "If-Match: " + err.Error()})
 		return
 	}
-	cur, v, done := at(d, c, 0, d.current)
+	o := newOrder(c.r.Method, on, b)
+	s, v, done := at(d, c, 0, func(ctx context.Context) (standing, error) { return d.look(ctx, o) })
 	if !done {
 		write(w, v)
 		return
 	}
-	stamp, make, err := read(b)
+	if s.taken {
+		write(w, s.verdict())
+		return
+	}
+	version, make, err := read(b)
 	if err != nil {
 		write(w, verdict{out: unprocessable, why: err.Error()})
 		return
 	}
-	sum := sha256.Sum256(append([]byte(c.r.Method+" "), b...))
-	for _, t := range cur.Taken {
-		if t.Stamp == stamp && bytes.Equal(t.Sum, sum[:]) {
-			write(w, verdict{body: none{}})
-			return
-		}
+	if version <= s.forgotten {
+		write(w, verdict{out: unsure})
+		return
 	}
-	if cur.Stamp != on {
-		write(w, verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(cur.Stamp)})
+	if s.cur.GetStamp() != on {
+		write(w, s.verdict())
 		return
 	}
-	if stamp <= cur.Stamp {
-		write(w, verdict{out: unprocessable, why: "stamp " + dialplan.FormatStamp(stamp) + " is not above " + dialplan.FormatStamp(cur.Stamp)})
+	if version <= on {
+		write(w, verdict{out: unprocessable, why: "stamp " + dialplan.FormatStamp(version) + " is not above " + dialplan.FormatStamp(on)})
 		return
 	}
-	doc, err := make(cur)
+	cur, err := decode(s.cur)
 	if err != nil {
-		write(w, verdict{out: unprocessable, why: err.Error()})
+		write(w, verdict{out: unsure})
 		return
 	}
-	next := &trunk.Config{Stamp: stamp, Packed: trunk.Pack(doc.Write()), Taken: append(cur.Taken, &trunk.Taken{Stamp: stamp, Sum: sum[:]})}
-	if cur.Stamp > 0 {
-		if old, err := d.doc(cur); err == nil {
-			next.Steps = keepSteps(append(cur.Steps, &trunk.Step{Base: cur.Stamp, Stamp: stamp, Patch: trunk.Pack(doc.Since(old))}))
-		}
+	doc, err := make(cur)
+	if errors.Is(err, errKept) {
+		write(w, verdict{out: unsure})
+		return
 	}
-	if n := len(next.Taken); n > keepTaken {
-		next.Taken = next.Taken[n-keepTaken:]
+	if err != nil {
+		write(w, verdict{out: unprocessable, why: err.Error()})
+		return
 	}
-	data, err := proto.Marshal(next)
+	data, err := d.following(cur, doc)
 	if err != nil {
 		write(w, verdict{out: unsure})
 		return
 	}
-	r, v, done := at(d, c, 0, func(ctx context.Context) (taking, error) {
-		return numbering.Run(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, taking) {
-			x := ReadConfig(t)
-			for _, k := range x.Taken {
-				if k.Stamp == stamp && bytes.Equal(k.Sum, sum[:]) {
-					return nil, taking{ok, x.Stamp}
-				}
-			}
-			if x.Stamp != cur.Stamp {
-				return nil, taking{moved, x.Stamp}
-			}
-			return &trunk.Change{Blob: &trunk.Blob{Name: ConfigBlob, Data: data, Stamp: stamp}}, taking{ok, stamp}
-		})
-	})
+	next := &trunk.Blob{Name: ConfigBlob, Data: data, Stamp: version}
+	s, v, done = at(d, c, 0, func(ctx context.Context) (standing, error) { return d.decide(ctx, o, next) })
 	if !done {
 		write(w, v)
 		return
 	}
-	if r.out == moved {
-		write(w, verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(r.now)})
-		return
+	if s.taken {
+		d.mu.Lock()
+		d.last = doc
+		d.mu.Unlock()
+		if d.Acked != nil {
+			d.Acked(version)
+		}
 	}
-	d.mu.Lock()
-	d.last = doc
-	d.mu.Unlock()
-	if d.Acked != nil {
-		d.Acked(stamp)
+	write(w, s.verdict())
+}
+
+// following is doc as it is kept, with the steps that lead to it.
+func (d *Core) following(cur *trunk.Config, doc dialplan.Doc) ([]byte, error) {
+	next := &trunk.Config{Stamp: doc.Stamp, Packed: trunk.Pack(doc.Write())}
+	if cur.Stamp > 0 {
+		if old, err := d.doc(cur); err == nil {
+			next.Steps = keepSteps(append(cur.Steps, &trunk.Step{Base: cur.Stamp, Stamp: doc.Stamp, Patch: trunk.Pack(doc.Since(old))}))
+		}
 	}
-	write(w, verdict{body: none{}})
+	return proto.Marshal(next)
 }
--- /dev/null
+++ b/internal/desk/core_test.go
@@ -0,0 +1,292 @@
+package desk
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/exchange"
+	"corkcove/internal/numbering"
+	"corkcove/internal/trunk"
+)
+
+// A made core: real desks over real boards, on the clock of synctest, with
+// made wires and disks.
+
+type shelf struct {
+	mu   sync.Mutex
+	gate chan struct{}
+	recs [][]byte
+}
+
+// stall holds all writes up until its answer is called.
+func (s *shelf) stall() func() {
+	c := make(chan struct{})
+	s.set(c)
+	return func() { s.set(nil); close(c) }
+}
+
+func (s *shelf) set(c chan struct{}) {
+	s.mu.Lock()
+	s.gate = c
+	s.mu.Unlock()
+}
+
+func (s *shelf) wait(end <-chan struct{}) {
+	s.mu.Lock()
+	c := s.gate
+	s.mu.Unlock()
+	if c != nil {
+		select {
+		case <-c:
+		case <-end:
+		}
+	}
+}
+
+func (s *shelf) read() [][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([][]byte(nil), s.recs...)
+}
+
+type job struct {
+	rec  []byte
+	page [][]byte
+	done func(error)
+}
+
+// writer is one life's way to its shelf.
+type writer struct {
+	s  *shelf
+	l  *exchange.Loop
+	ch chan job
+}
+
+func (x writer) run(end <-chan struct{}) {
+	for {
+		select {
+		case <-end:
+			return
+		case j := <-x.ch:
+			x.s.wait(end)
+			x.s.mu.Lock()
+			if j.page != nil {
+				x.s.recs = append([][]byte(nil), j.page...)
+			} else if len(j.rec) > 0 {
+				x.s.recs = append(x.s.recs, j.rec)
+			}
+			x.s.mu.Unlock()
+			x.l.Put(func() { j.done(nil) })
+		}
+	}
+}
+
+func (x writer) Append(rec []byte, done func(error))        { x.ch <- job{rec: rec, done: done} }
+func (x writer) Checkpoint(page [][]byte, done func(error)) { x.ch <- job{page: page, done: done} }
+
+type member struct {
+	w    *room
+	addr string
+	disk *shelf
+	l    *exchange.Loop
+	b    *exchange.Board
+	d    *Core
+	end  chan struct{}
+}
+
+type room struct {
+	t   *testing.T
+	mu  sync.Mutex
+	ms  []*member
+	off map[string]bool
+	ids int
+	t0  time.Time
+	wg  sync.WaitGroup
+}
+
+// furnish starts a core of n members, on the disks given or on empty ones.
+func furnish(t *testing.T, n int, disks ...*shelf) *room {
+	w := &room{t: t, off: map[string]bool{}, t0: time.Now()}
+	for i := range n {
+		m := &member{w: w, addr: fmt.Sprint("m", i), disk: &shelf{}}
+		if i < len(disks) {
+			m.disk = disks[i]
+		}
+		w.ms = append(w.ms, m)
+	}
+	for _, m := range w.ms {
+		m.start(len(disks) == 0)
+	}
+	return w
+}
+
+func (w *room) close() {
+	for _, m := range w.ms {
+		m.kill()
+	}
+	w.wg.Wait()
+}
+
+func (m *member) start(first bool) {
+	w := m.w
+	var seeds []*trunk.Member
+	for _, x := range w.ms {
+		seeds = append(seeds, &trunk.Member{Addr: x.addr, Control: x.addr})
+	}
+	m.l, m.end = exchange.NewLoop(), make(chan struct{})
+	wr := writer{m.disk, m.l, make(chan job, 1<<16)}
+	end, l := m.end, m.l
+	w.wg.Go(func() { wr.run(end) })
+	s := numbering.NewService(m.l, 4)
+	b, err := exchange.New(exchange.Options{Me: &trunk.Member{Addr: m.addr, Control: m.addr}, Seeds: seeds, First: first, Shards: 4,
+		Hold: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 1 << 18,
+		NewTable: func() exchange.Table { return numbering.NewTable(20 * time.Second) },
+		NewID:    func() string { w.ids++; return fmt.Sprint("id", w.ids) },
+		Now:      func() time.Duration { return time.Since(w.t0) }, Rand: func(int) int { return 0 },
+		OnCommit: s.Committed}, tube{m, m.l}, wr, m.disk.read())
+	qt.Assert(w.t, err, qt.IsNil)
+	s.Board = b
+	w.mu.Lock()
+	m.b, m.d = b, NewCore(s, 650*time.Millisecond)
+	w.off[m.addr] = false
+	w.mu.Unlock()
+	w.wg.Go(func() { l.Run(50*time.Millisecond, b.Tick) })
+}
+
+func (m *member) kill() {
+	m.w.cut(m.addr, true)
+	select {
+	case <-m.end:
+		return
+	default:
+	}
+	close(m.end)
+	m.l.Close()
+}
+
+func (w *room) cut(addr string, on bool) {
+	w.mu.Lock()
+	w.off[addr] = on
+	w.mu.Unlock()
+}
+
+func (w *room) at(addr string) (*member, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.ms {
+		if m.addr == addr {
+			return m, !w.off[addr]
+		}
+	}
+	return nil, false
+}
+
+func (w *room) owner() *member {
+	for range 400 {
+		for _, m := range w.ms {
+			if _, up := w.at(m.addr); !up {
+				continue
+			}
+			if own, _ := exchange.Ask(m.l, func() bool { _, own := m.b.Own(0); return own }); own {
+				return m
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	w.t.Fatal("nobody owns shard 0")
+	return nil
+}
+
+type tube struct {
+	m *member
+	l *exchange.Loop
+}
+
+func pass[Q, R proto.Message](x tube, to string, q Q, cb func(R), f func(exchange.Door, context.Context, Q) (R, error)) {
+	q = proto.Clone(q).(Q)
+	x.m.w.wg.Go(func() {
+		ctx, stop := context.WithTimeout(context.Background(), 600*time.Millisecond)
+		defer stop()
+		time.Sleep(time.Millisecond)
+		var none R
+		t, up := x.m.w.at(to)
+		_, here := x.m.w.at(x.m.addr)
+		if t == nil || !up || !here {
+			<-ctx.Done()
+			x.l.Put(func() { cb(none) })
+			return
+		}
+		r, err := f(exchange.Door{Loop: t.l, Board: t.b}, ctx, q)
+		if _, here = x.m.w.at(x.m.addr); err != nil || !here {
+			r = none
+		}
+		x.l.Put(func() { cb(r) })
+	})
+}
+
+func (x tube) Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp)) {
+	pass(x, to.Addr, q, cb, exchange.Door.Hold)
+}
+func (x tube) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
+	pass(x, to.Addr, q, cb, exchange.Door.Copy)
+}
+func (x tube) Ask(to *trunk.Member, q *trunk.AskReq, cb func(*trunk.AskResp)) {
+	pass(x, to.Addr, q, cb, exchange.Door.Ask)
+}
+func (x tube) Hand(to *trunk.Member, q *trunk.HandReq, cb func(*trunk.HandResp)) {
+	pass(x, to.Addr, q, cb, exchange.Door.Hand)
+}
+func (x tube) Enroll(to *trunk.Member, q *trunk.EnrollReq, cb func(*trunk.EnrollResp)) {
+	pass(x, to.Addr, q, cb, exchange.Door.Enroll)
+}
+func (x tube) Survey(to string, q *trunk.SurveyReq, cb func(*trunk.SurveyResp)) {
+	pass(x, to, q, cb, exchange.Door.Survey)
+}
+func (x tube) Join(to *trunk.Member, q *trunk.JoinReq, cb func(*trunk.JoinResp)) {
+	pass(x, to.Addr, q, cb, exchange.Door.Join)
+}
+
+// sending is one call of the operator or of an application.
+type sending struct{ method, path, on, body string }
+
+// once sends to one member and follows two redirects, as callers do.
+func (w *room) once(to string, s sending) (int, string) {
+	for hop := 0; ; hop++ {
+		m, up := w.at(to)
+		if !up {
+			return 0, ""
+		}
+		r := httptest.NewRequest(s.method, s.path, strings.NewReader(s.body))
+		if s.on != "" {
+			r.Header.Set("If-Match", s.on)
+		}
+		rec := httptest.NewRecorder()
+		m.d.ServeHTTP(rec, r)
+		u, err := url.Parse(rec.Header().Get("Location"))
+		if rec.Code != 307 || err != nil || hop == 2 {
+			return rec.Code, rec.Body.String()
+		}
+		to = u.Host
+	}
+}
+
+// sure sends to one member after the other until an answer is clear.
+func (w *room) sure(from int, s sending) (int, string) {
+	for i := range 200 {
+		c, b := w.once(w.ms[(from+i)%len(w.ms)].addr, s)
+		if c != 0 && c != 307 && c < 500 {
+			return c, b
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return 0, ""
+}
--- /dev/null
+++ b/internal/desk/orders_test.go
@@ -0,0 +1,234 @@
+package desk
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/dialplan"
+	"corkcove/internal/numbering"
+	"corkcove/internal/trunk"
+)
+
+const place = "/-/configuration"
+
+func version(n uint64) string { return dialplan.FormatStamp(n) }
+
+func whole(n, on uint64, host string) sending {
+	on1 := version(on)
+	if on == 0 {
+		on1 = "0"
+	}
+	return sending{"PUT", place, on1, conf(version(n), host)}
+}
+
+func part(n, on uint64, host string) sending {
+	return sending{"PATCH", place, version(on), `{"stamp":"` + version(n) + `","upserts":{"resourceList":[{"variant":"bindingList","metadata":{"name":"p` +
+		fmt.Sprint(n%7) + `"},"specification":{"hostname":"` + host + `","pathPrefix":"/p` + fmt.Sprint(n%7) + `/","bindingKind":"pure","serviceName":"s"}}]}}`}
+}
+
+// day is n orders, each on the one before, by uneven steps, whole and in part.
+func day(n int) []sending {
+	var out []sending
+	var on uint64
+	for i := range n {
+		v := on + 1 + uint64(i%3)
+		if i%3 == 1 {
+			out = append(out, part(v, on, fmt.Sprint("h", i)))
+		} else {
+			out = append(out, whole(v, on, fmt.Sprint("h", i)))
+		}
+		on = v
+	}
+	return out
+}
+
+func (w *room) all(os []sending, code int, when string) {
+	w.t.Helper()
+	for i, o := range os {
+		c, b := w.sure(i, o)
+		qt.Assert(w.t, c, qt.Equals, code, qt.Commentf("order %d %s: %s", i, when, b))
+	}
+}
+
+func TestEachOrderOfALongDayIsKnownWhenItComesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := furnish(t, 1)
+		os := day(1000)
+		w.all(os, 200, "at first")
+		w.all(os, 200, "at the day's end")
+		w.close()
+		w = furnish(t, 1, w.ms[0].disk)
+		defer w.close()
+		w.all(os, 200, "after a restart")
+		for _, o := range os[len(os)-20:] {
+			o.body += " "
+			c, b := w.sure(0, o)
+			qt.Assert(t, c, qt.Equals, 412, qt.Commentf("another body: %s", b))
+		}
+	})
+}
+
+func TestOneOfTwoOrdersUnderOneNumberIsTakenWhateverBefalls(t *testing.T) {
+	for name, f := range map[string]func(*room, *member){
+		"nothing": func(*room, *member) {},
+		"the owner is killed": func(w *room, m *member) {
+			m.kill()
+			w.owner()
+			m.start(false)
+		},
+		"the owner is cut off": func(w *room, m *member) {
+			w.cut(m.addr, true)
+			w.owner()
+			w.cut(m.addr, false)
+		},
+		"the owner loses its disk and the next one dies": func(w *room, m *member) {
+			m.kill()
+			m.disk = &shelf{}
+			m.start(false)
+			n := w.owner()
+			time.Sleep(6 * time.Second)
+			n.kill()
+			w.owner()
+			n.start(false)
+		},
+		"all restart": func(w *room, _ *member) {
+			w.close()
+			for _, m := range w.ms {
+				m.start(false)
+			}
+		},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			w := furnish(t, 3)
+			defer w.close()
+			os := day(12)
+			w.all(os, 200, "at first")
+			on, _ := dialplan.ParseStamp(w.inForce())
+			for i, x := range []struct{ one, two sending }{
+				{whole(on+5, on, "one"), whole(on+5, on, "two")},
+				{part(on+9, on+5, "one"), part(on+9, on+5, "two")},
+				{part(on+12, on+9, "one"), whole(on+12, on+9, "two")},
+				{part(on+15, on+12, "same"), part(on+15, on+9, "same")},
+			} {
+				at := qt.Commentf("%s, pair %d", name, i)
+				c, _ := w.sure(i, x.one)
+				qt.Assert(t, c, qt.Equals, 200, at)
+				f(w, w.owner())
+				c, _ = w.sure(i+1, x.two)
+				qt.Assert(t, c, qt.Equals, 412, at)
+				c, _ = w.sure(i+2, x.one)
+				qt.Assert(t, c, qt.Equals, 200, at)
+			}
+			for i := range w.ms {
+				w.all(os, 200, fmt.Sprint(name, ", member ", i))
+			}
+		})
+	}
+}
+
+func (w *room) inForce() string {
+	_, b := w.sure(0, sending{method: "GET", path: place})
+	d, err := dialplan.Read([]byte(b))
+	qt.Assert(w.t, err, qt.IsNil)
+	return version(d.Stamp)
+}
+
+func TestWhatWasFoundButIsNotSafeIsNoPromise(t *testing.T) {
+	for name, x := range map[string]struct {
+		before, it, other sending
+	}{
+		"put of the configuration": {whole(1, 0, "h"), whole(5, 1, "i"), whole(5, 1, "j")},
+		"patch":                    {whole(1, 0, "h"), part(5, 1, "i"), part(5, 1, "j")},
+		"put of a cell":            {sending{"PUT", "/-/cells/g.a", "", `{"payload":"u"}`}, sending{"PUT", "/-/cells/g.a", "", `{"payload":"v","topic":1}`}, sending{"PUT", "/-/cells/g.a", "", `{"payload":"w","topic":1}`}},
+		"giving back": {sending{"POST", "/-/locks/l", "", `{"holderId":"a","holdS":60}`}, sending{"DELETE", "/-/locks/l", "", `{"holderId":"a","fenceNo":1}`},
+			sending{"PUT", "/-/locks/l", "", `{"holderId":"a","fenceNo":1,"holdS":9}`}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			w := furnish(t, 1)
+			defer w.close()
+			c, _ := w.sure(0, x.before)
+			qt.Assert(t, c, qt.Equals, 200)
+			synctest.Wait()
+			flow := w.ms[0].disk.stall()
+			for i := range 3 {
+				c, _ = w.once("m0", x.it)
+				qt.Check(t, c, qt.Equals, 500, qt.Commentf("%s, sending %d", name, i))
+			}
+			c, _ = w.once("m0", x.other)
+			qt.Check(t, c, qt.Equals, 503, qt.Commentf("%s: nothing was done", name))
+			flow()
+			c, _ = w.sure(0, x.it)
+			qt.Check(t, c, qt.Equals, 200, qt.Commentf("%s, once it is safe", name))
+			c, _ = w.sure(0, x.other)
+			qt.Check(t, c == 409 || c == 412, qt.IsTrue, qt.Commentf("%s: %d", name, c))
+		})
+	}
+}
+
+// before is a disk as the release before wrote it, with what was taken inside
+// the configuration.
+func before(os []sending) *shelf {
+	s := &shelf{}
+	put := func(r *trunk.Record) {
+		b, _ := proto.Marshal(r)
+		s.recs = append(s.recs, b)
+	}
+	put(&trunk.Record{Identity: &trunk.Identity{Id: "founder-m0"}})
+	put(&trunk.Record{Roll: &trunk.Roll{Stamp: 1, Members: []*trunk.Member{{Id: "founder-m0", Addr: "m0", Control: "m0"}}}})
+	old := &trunk.TakenWithin{}
+	var doc dialplan.Doc
+	for i, o := range os {
+		if o.method == "PUT" {
+			doc, _ = dialplan.Read([]byte(o.body))
+		} else {
+			p, _ := dialplan.ReadPatch([]byte(o.body))
+			doc, _ = doc.With(p)
+		}
+		old.Taken = append(old.Taken, &trunk.Taken{Stamp: doc.Stamp, Sum: bareSum(o)})
+		old.Taken = old.Taken[max(0, len(old.Taken)-256):]
+		a, _ := proto.Marshal(&trunk.Config{Stamp: doc.Stamp, Packed: trunk.Pack(doc.Write())})
+		b, _ := proto.Marshal(old)
+		blob := &trunk.Blob{Name: "configuration", Data: append(a, b...), Stamp: doc.Stamp}
+		if i == len(os)-5 {
+			put(&trunk.Record{State: &trunk.ShardState{Epoch: 1, Stamp: uint64(i), Blobs: []*trunk.Blob{blob}}})
+		} else if i > len(os)-5 {
+			put(&trunk.Record{Entry: &trunk.Entry{Epoch: 1, Stamp: uint64(i), Change: &trunk.Change{Blob: blob}}})
+		}
+	}
+	return s
+}
+
+func TestOrdersTakenByTheReleaseBeforeAreKnown(t *testing.T) {
+	for _, n := range []int{8, 300} {
+		synctest.Test(t, func(t *testing.T) {
+			os := day(n)
+			disk := before(os)
+			w := furnish(t, 1, disk)
+			on, _ := dialplan.ParseStamp(w.inForce())
+			known := os[max(0, n-4-256):]
+			w.all(known, 200, "after the upgrade")
+			for _, o := range os[:n-len(known)] {
+				c, _ := w.once("m0", o)
+				qt.Assert(t, c, qt.Equals, 500, qt.Commentf("forgotten, so unclear: %s", o.body))
+			}
+			next := []sending{whole(on+1, on, "x"), part(on+4, on+1, "y"), whole(on+5, on+4, "z")}
+			w.all(next, 200, "after the upgrade")
+			w.close()
+			w = furnish(t, 1, disk)
+			defer w.close()
+			w.all(append(next, known...), 200, "after a restart")
+			c, _ := w.sure(0, whole(on+2, on, "late"))
+			qt.Assert(t, c, qt.Equals, 412)
+		})
+	}
+}
+
+func bareSum(o sending) []byte {
+	s := newOrder(o.method, 0, []byte(o.body)).bare
+	return append(s[:numbering.SumSize:numbering.SumSize], make([]byte, 16)...)
+}
--- a/internal/numbering/service.go
+++ b/internal/numbering/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"hash/fnv"
 	"time"
 
@@ -45,14 +46,31 @@
 	err error
 }
 
-// Run calls f on the shard's table; its answer comes back once it is safe.
+// Run calls f on the shard's table; its answer comes back once it is safe. An
+// f that makes no change has done nothing: if it fails, it is ErrBusy.
 func Run[R any](ctx context.Context, s *Service, shard int, f func(t *Table, now time.Duration) (*trunk.Change, R)) (R, error) {
+	return RunAgain(ctx, s, shard, func(t *Table, now time.Duration) (*trunk.Change, R, bool) {
+		c, r := f(t, now)
+		return c, r, false
+	})
+}
+
+// RunAgain is Run for what may come again: f also tells that it found the same
+// there from an earlier sending. That one may yet take effect while it isn't
+// safe, so failing to see it so is ErrUnsure.
+func RunAgain[R any](ctx context.Context, s *Service, shard int, f func(t *Table, now time.Duration) (*trunk.Change, R, bool)) (R, error) {
 	o, ok := exchange.Later(ctx, s.Loop, func(reply func(out[R])) {
 		var r R
+		var found bool
 		s.Board.Do(shard, func(t exchange.Table, now time.Duration) (c *trunk.Change) {
-			c, r = f(t.(*Table), now)
+			c, r, found = f(t.(*Table), now)
 			return c
-		}, func(err error) { reply(out[R]{r, err}) })
+		}, func(err error) {
+			if found && errors.Is(err, exchange.ErrBusy) {
+				err = exchange.ErrUnsure
+			}
+			reply(out[R]{r, err})
+		})
 	})
 	if !ok {
 		var r R
@@ -72,7 +90,10 @@
 }
 
 func (s *Service) Release(ctx context.Context, name, holder string, fence uint64) (Grant, error) {
-	return Run(ctx, s, s.Shard(name), func(t *Table, _ time.Duration) (*trunk.Change, Grant) { return t.Release(name, holder, fence) })
+	return RunAgain(ctx, s, s.Shard(name), func(t *Table, _ time.Duration) (*trunk.Change, Grant, bool) {
+		c, g := t.Release(name, holder, fence)
+		return c, g, c == nil
+	})
 }
 
 func (s *Service) Next(ctx context.Context, name string) (uint64, error) {
@@ -80,7 +101,10 @@
 }
 
 func (s *Service) Put(ctx context.Context, name, payload string, on *uint64) (Cell, error) {
-	return Run(ctx, s, s.Shard(GroupOf(name)), func(t *Table, now time.Duration) (*trunk.Change, Cell) { return t.Put(name, payload, on, now) })
+	return RunAgain(ctx, s, s.Shard(GroupOf(name)), func(t *Table, now time.Duration) (*trunk.Change, Cell, bool) {
+		c, r := t.Put(name, payload, on, now)
+		return c, r, c == nil && r.Outcome == Done
+	})
 }
 
 func (s *Service) Get(ctx context.Context, name string) (Cell, error) {
--- a/internal/numbering/table.go
+++ b/internal/numbering/table.go
@@ -40,6 +40,7 @@
 	groups map[string]*group
 	blobs  map[string]*trunk.Blob
 	pins   pins
+	taken  taken
 }
 
 func NewTable(history time.Duration) *Table {
@@ -56,6 +57,7 @@
 	t.groups = map[string]*group{}
 	t.blobs = map[string]*trunk.Blob{}
 	t.pins.by = map[pinKey]pin{}
+	t.taken = taken{}
 }
 
 func GroupOf(key string) string {
@@ -100,6 +102,10 @@
 	}
 	if b := c.GetBlob(); b != nil {
 		t.blobs[b.Name] = b
+		t.taken.read(b)
+	}
+	if x := c.GetTaken(); x != nil {
+		t.taken.add(x)
 	}
 	if p := c.GetPin(); p != nil {
 		t.pins.apply(p, now)
@@ -147,6 +153,7 @@
 		s.Blobs = append(s.Blobs, b)
 	}
 	s.Pins = t.pins.dump(now)
+	t.taken.dump(s)
 	sort.Slice(s.Locks, func(i, j int) bool { return s.Locks[i].Name < s.Locks[j].Name })
 	sort.Slice(s.Numbers, func(i, j int) bool { return s.Numbers[i].Name < s.Numbers[j].Name })
 	sort.Slice(s.Groups, func(i, j int) bool { return s.Groups[i].Name < s.Groups[j].Name })
@@ -183,8 +190,10 @@
 			g.past = append(g.past, event{&trunk.Put{Name: p.Name, Payload: p.Payload, Revision: p.Revision}, now - age(p.AgeMs)})
 		}
 	}
+	t.taken.load(s)
 	for _, b := range s.Blobs {
 		t.blobs[b.Name] = b
+		t.taken.read(b)
 	}
 	for _, p := range s.Pins {
 		t.pins.put(p, now-age(p.AgeMs))
--- /dev/null
+++ b/internal/numbering/taken.go
@@ -0,0 +1,86 @@
+package numbering
+
+import (
+	"bytes"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/trunk"
+)
+
+const (
+	// ConfigBlob holds the configuration in force; an earlier release kept the
+	// record of taken orders inside it.
+	ConfigBlob = "configuration"
+	// MostTaken orders are known when they come again, the newest ones.
+	MostTaken = 4096
+	// SumSize is how much of an order's sum is kept.
+	SumSize = 16
+
+	mostWithin = 256
+)
+
+// taken is the record of orders that were taken, by rising version. It only
+// ever grows behind what a dump holds, so dumps share it.
+type taken struct {
+	versions []uint64
+	sums     []byte
+	floor    uint64
+}
+
+func (k *taken) has(sum []byte) bool {
+	for b := k.sums; len(b) >= SumSize; b = b[SumSize:] {
+		if bytes.Equal(b[:SumSize], sum) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *taken) add(x *trunk.Taken) {
+	n := len(k.versions)
+	if len(x.GetSum()) < SumSize || n > 0 && x.Stamp <= k.versions[n-1] {
+		return
+	}
+	k.versions, k.sums = append(k.versions, x.Stamp), append(k.sums, x.Sum[:SumSize]...)
+	if n++; n > MostTaken {
+		k.floor = k.versions[n-MostTaken-1]
+		k.versions, k.sums = k.versions[n-MostTaken:], k.sums[(n-MostTaken)*SumSize:]
+	}
+}
+
+func (k *taken) dump(s *trunk.ShardState) {
+	s.TakenFloor = k.floor
+	s.TakenVersions, s.TakenSums = slices.Clip(k.versions), slices.Clip(k.sums)
+}
+
+func (k *taken) load(s *trunk.ShardState) {
+	k.floor = s.TakenFloor
+	if n := len(s.TakenVersions); n*SumSize == len(s.TakenSums) {
+		k.versions, k.sums = slices.Clip(s.TakenVersions), slices.Clip(s.TakenSums)
+	}
+}
+
+// read takes in what an earlier release kept inside the configuration.
+func (k *taken) read(b *trunk.Blob) {
+	if b.Name != ConfigBlob {
+		return
+	}
+	var x trunk.TakenWithin
+	if (proto.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(b.Data, &x) != nil {
+		return
+	}
+	if len(x.Taken) >= mostWithin && len(k.versions) == 0 {
+		k.floor = x.Taken[0].Stamp - 1
+	}
+	for _, o := range x.Taken {
+		k.add(o)
+	}
+}
+
+// Taken tells whether an order of this sum was taken.
+func (t *Table) Taken(sum []byte) bool { return t.taken.has(sum[:SumSize]) }
+
+// Forgotten is the version up to which taken orders may no longer be known.
+func (t *Table) Forgotten() uint64 { return t.taken.floor }
--- /dev/null
+++ b/internal/numbering/taken_test.go
@@ -0,0 +1,60 @@
+package numbering
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"corkcove/internal/trunk"
+)
+
+func sumOf(v uint64) []byte {
+	s := sha256.Sum256(fmt.Append(nil, v))
+	return s[:]
+}
+
+func TestRecordOfOrdersIsBoundedAndItsDumpsStayAsTheyWere(t *testing.T) {
+	a, b := NewTable(20*time.Second), NewTable(20*time.Second)
+	take := func(t *Table, v uint64) { t.Apply(&trunk.Change{Taken: &trunk.Taken{Stamp: v, Sum: sumOf(v)}}, 0) }
+	const extra = 10
+	for v := uint64(1); v <= MostTaken; v++ {
+		take(a, 2*v)
+	}
+	early := a.Dump(0)
+	b.Load(early, 0, true)
+	for v := uint64(MostTaken + 1); v <= MostTaken+extra; v++ {
+		take(a, 2*v)
+		take(b, 2*v+1)
+	}
+	take(a, 3)
+	for i, x := range []struct {
+		t       *Table
+		v       uint64
+		known   bool
+		forgets uint64
+	}{
+		{a, 2 * (MostTaken + extra), true, 2 * extra},
+		{a, 2 * (extra + 1), true, 2 * extra},
+		{a, 2 * extra, false, 2 * extra},
+		{a, 2*(MostTaken+1) + 1, false, 2 * extra},
+		{a, 3, false, 2 * extra},
+		{b, 2*(MostTaken+1) + 1, true, 2 * extra},
+		{b, 2 * (MostTaken + 1), false, 2 * extra},
+	} {
+		qt.Check(t, x.t.Taken(sumOf(x.v)), qt.Equals, x.known, qt.Commentf("row %d", i))
+		qt.Check(t, x.t.Forgotten(), qt.Equals, x.forgets, qt.Commentf("row %d", i))
+	}
+	c := NewTable(20 * time.Second)
+	c.Load(early, 0, true)
+	qt.Assert(t, c.Forgotten(), qt.Equals, uint64(0))
+	for v := uint64(1); v <= MostTaken; v++ {
+		qt.Assert(t, c.Taken(sumOf(2*v)), qt.IsTrue)
+	}
+	for _, d := range []*trunk.ShardState{early, a.Dump(0), b.Dump(0)} {
+		qt.Assert(t, len(d.TakenVersions), qt.Equals, MostTaken)
+		qt.Assert(t, len(d.TakenSums), qt.Equals, MostTaken*SumSize)
+	}
+}
