Orders: large ones take turns, and answers too long to hold are redirected

An answer of over 8 MB from the shard's owner was cut and passed on as if it were whole.

Now 16 MB is the most (413), one order above 512 KB is checked at a time, bodies under way have 48 MB in all; what waits too long gets 503, of which nothing was done. An order on a stale base is refused unread, unless it is old enough to have been forgotten.

Ruled out: holding large bodies back unread (one stuck sender would stop all).

--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -21,7 +21,11 @@
 
 const (
 	ConfigBlob = numbering.ConfigBlob
-	maxConfig  = 32 << 20
+	// An order takes about ten times its size while it is read and checked: one
+	// above heavyBody goes alone, and bodies under way have mostBodies in all.
+	maxConfig  = 16 << 20
+	heavyBody  = 512 << 10
+	mostBodies = 48 << 20
 	mostSteps  = 192 << 10
 	watchMost  = time.Minute
 )
@@ -35,8 +39,10 @@
 	Near  http.RoundTripper
 	Acked func(stamp uint64)
 
-	mu   sync.Mutex
-	last dialplan.Doc
+	mu     sync.Mutex
+	last   dialplan.Doc
+	bodies int64
+	heavy  chan struct{}
 }
 
 type lockReq struct {
@@ -81,7 +87,7 @@
 }
 
 func NewCore(s *numbering.Service, patient time.Duration) *Core {
-	c := &Core{Svc: s, Patient: patient, Step: 20 * time.Millisecond}
+	c := &Core{Svc: s, Patient: patient, Step: 20 * time.Millisecond, heavy: make(chan struct{}, 1)}
 	c.add("POST /-/locks/{}", handle(c, c.take))
 	c.add("PUT /-/locks/{}", handle(c, c.renew))
 	c.add("DELETE /-/locks/{}", handle(c, c.drop))
@@ -394,7 +400,48 @@
 	return st
 }
 
+// admit counts a body among those under way; without a length it may be large.
+func (d *Core) admit(r *http.Request) (fin func(), room bool) {
+	n := r.ContentLength
+	if n < 0 || n > maxConfig {
+		n = maxConfig
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.bodies+n > mostBodies {
+		return nil, false
+	}
+	d.bodies += n
+	return func() {
+		d.mu.Lock()
+		d.bodies -= n
+		d.mu.Unlock()
+	}, true
+}
+
+// alone waits until no other heavy order is being read, for as long as nothing
+// was done.
+func (d *Core) alone(ctx context.Context, size int) (fin func(), ok bool) {
+	if size <= heavyBody {
+		return func() {}, true
+	}
+	ctx, stop := context.WithTimeout(ctx, d.Patient)
+	defer stop()
+	select {
+	case d.heavy <- struct{}{}:
+		return func() { <-d.heavy }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 func (d *Core) change(w http.ResponseWriter, c call, read func([]byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error)) {
+	fin, room := d.admit(c.r)
+	if !room {
+		write(w, verdict{out: busy})
+		return
+	}
+	defer fin()
 	b, err := body(w, c.r, maxConfig)
 	if err != nil {
 		write(w, verdict{out: tooBig(err)})
@@ -415,6 +462,16 @@
 		write(w, s.verdict())
 		return
 	}
+	if s.forgotten == 0 && s.cur.GetStamp() != on {
+		write(w, s.verdict())
+		return
+	}
+	fin, alone := d.alone(c.r.Context(), len(b))
+	if !alone {
+		write(w, verdict{out: busy})
+		return
+	}
+	defer fin()
 	version, make, err := read(b)
 	if err != nil {
 		write(w, verdict{out: unprocessable, why: err.Error()})
--- a/internal/desk/forward.go
+++ b/internal/desk/forward.go
@@ -29,6 +29,7 @@
 	answered sentOn = iota
 	notSent
 	unclear
+	tooLong
 )
 
 // sendOn brings a call to the member that owns its shard and gives its answer.
@@ -58,10 +59,13 @@
 		return nil, nil, unclear
 	}
 	defer p.Body.Close()
-	x, err := io.ReadAll(io.LimitReader(p.Body, mostAnswer))
+	x, err := io.ReadAll(io.LimitReader(p.Body, mostAnswer+1))
 	if err != nil {
 		return nil, nil, unclear
 	}
+	if len(x) > mostAnswer {
+		return nil, nil, tooLong
+	}
 	return p, x, answered
 }
 
@@ -82,6 +86,9 @@
 		case unclear:
 			write(w, verdict{out: unsure})
 			return
+		case tooLong:
+			write(w, v)
+			return
 		case notSent:
 			if time.Now().After(end) || c.r.Context().Err() != nil {
 				write(w, verdict{out: busy})
--- a/internal/desk/forward_test.go
+++ b/internal/desk/forward_test.go
@@ -85,6 +85,7 @@
 		"sent on once already":     {say: []say{breaks}, mark: "1", code: 307, calls: 0},
 		"refused, then broken off": {say: []say{refuses, breaks}, code: 500, calls: 2},
 		"moved, then broken off":   {say: []say{says(307, "", "http://o2:1/-/numbers/n"), breaks}, code: 500, calls: 2},
+		"too long to be held":      {say: []say{says(200, strings.Repeat(" ", mostAnswer+1), "")}, code: 307, calls: 1},
 		"moved, then nobody there": {say: []say{says(307, "", "http://o2:1/-/numbers/n"), refuses}, code: 503, calls: 13},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/desk/orders_test.go
+++ b/internal/desk/orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -170,6 +171,46 @@
 	}
 }
 
+func TestLargeOrdersTakeTurnsAndAreTurnedAwayUnread(t *testing.T) {
+	pad := func(o sending, n int) sending { o.body += strings.Repeat(" ", n); return o }
+	synctest.Test(t, func(t *testing.T) {
+		w := furnish(t, 1)
+		defer w.close()
+		d := w.ms[0].d
+		w.all(day(1), 200, "at first")
+		for _, x := range []struct {
+			name   string
+			heavy  bool
+			bodies int64
+			o      sending
+			code   int
+		}{
+			{"large, while another is read", true, 0, pad(whole(5, 1, "a"), heavyBody), 503},
+			{"small, while a large one is read", true, 0, whole(5, 1, "b"), 200},
+			{"known, while a large one is read", true, 0, whole(5, 1, "b"), 200},
+			{"late, while a large one is read", true, 0, pad(whole(7, 1, "c"), heavyBody), 412},
+			{"with no room for bodies", false, mostBodies - 10, whole(9, 5, "d"), 503},
+			{"too large", false, 0, pad(whole(9, 5, "e"), maxConfig), 413},
+			{"large", false, 0, pad(whole(9, 5, "f"), heavyBody), 200},
+			{"large, known", true, 0, pad(whole(9, 5, "f"), heavyBody), 200},
+		} {
+			if x.heavy {
+				d.heavy <- struct{}{}
+			}
+			d.bodies += x.bodies
+			c, _ := w.once("m0", x.o)
+			qt.Check(t, c, qt.Equals, x.code, qt.Commentf("%s", x.name))
+			d.bodies -= x.bodies
+			if x.heavy {
+				<-d.heavy
+			}
+			qt.Check(t, d.bodies, qt.Equals, int64(0), qt.Commentf("%s", x.name))
+			qt.Check(t, len(d.heavy), qt.Equals, 0, qt.Commentf("%s", x.name))
+		}
+		qt.Assert(t, w.inForce(), qt.Equals, "r9")
+	})
+}
+
 // before is a disk as the release before wrote it, with what was taken inside
 // the configuration.
 func before(os []sending) *shelf {
--- a/internal/desk/outcome.go
+++ b/internal/desk/outcome.go
@@ -2,9 +2,9 @@
 package desk
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -131,7 +131,12 @@
 }
 
 func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var b bytes.Buffer
+	if r.ContentLength > 0 && r.ContentLength <= most {
+		b.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, most))
+	return b.Bytes(), err
 }
 
 func tooBig(err error) outcome {
