--- a/internal/desk/orders_test.go
+++ b/internal/desk/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,6 +63,11 @@
 		os := day(1000)
 		w.all(os, 200, "at first")
 		w.all(os, 200, "at the day's end")
+		size := 0
+		for _, r := range w.ms[0].disk.read() {
+			size += len(r)
+		}
+		qt.Assert(t, size < 400<<10, qt.IsTrue, qt.Commentf("%d bytes on disk", size))
 		w.close()
 		w = furnish(t, 1, w.ms[0].disk)
 		defer w.close()
@@ -132,6 +138,21 @@
 	}
 }
 
+func TestOneOrderSentManyTimesAtOnceIsAcknowledgedToAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := furnish(t, 1)
+		defer w.close()
+		w.all(day(1), 200, "at first")
+		var got [8]int
+		var wg sync.WaitGroup
+		for i := range got {
+			wg.Go(func() { got[i], _ = w.once("m0", part(5, 1, "i")) })
+		}
+		wg.Wait()
+		qt.Assert(t, got, qt.Equals, [8]int{200, 200, 200, 200, 200, 200, 200, 200})
+	})
+}
+
 func (w *room) inForce() string {
 	_, b := w.sure(0, sending{method: "GET", path: place})
 	d, err := dialplan.Read([]byte(b))
--- a/internal/tollbook/book.go
+++ b/internal/tollbook/book.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -62,6 +63,17 @@
 	return append(append(b, h[:]...), rec...)
 }
 
+func frameAll(recs [][]byte) ([]byte, error) {
+	var b []byte
+	for _, r := range recs {
+		if len(r) == 0 || len(r) > maxRec {
+			return nil, Error.New("a record of %d bytes can't be read back", len(r))
+		}
+		b = frame(b, r)
+	}
+	return b, nil
+}
+
 func frames(b []byte) (recs [][]byte, whole bool) {
 	for len(b) >= headSize {
 		n := binary.LittleEndian.Uint32(b)
@@ -200,41 +212,56 @@
 	if k.bad != nil {
 		return k.bad
 	}
-	var b []byte
+	var recs [][]byte
 	for _, j := range js {
 		if len(j.rec) > 0 {
-			b = frame(b, j.rec)
+			recs = append(recs, j.rec)
 		}
 	}
-	if len(b) == 0 {
-		return nil
-	}
-	if _, err := k.cur.Write(b); err != nil {
-		k.bad = Error.Wrap(err)
-		return k.bad
+	b, err := frameAll(recs)
+	if err == nil && len(b) > 0 {
+		_, err = k.cur.Write(b)
+		if err == nil {
+			err = k.cur.Sync()
+		}
 	}
-	if err := k.cur.Sync(); err != nil {
+	if err != nil {
 		k.bad = Error.Wrap(err)
 	}
 	return k.bad
 }
 
+// turn makes the segment and the snapshot before it syncs the folder, once for
+// both names. Until then nothing goes into the segment and all older files stay.
 func (k *Book) turn(page [][]byte) error {
 	if k.cur != nil {
 		k.cur.Close()
 		k.cur = nil
 	}
-	n := k.gen + 1
-	k.gen = n
-	var b []byte
-	for _, r := range page {
-		b = frame(b, r)
+	k.gen++
+	c, err := k.dk.Create(segName(k.gen))
+	if err != nil {
+		return Error.Wrap(err)
 	}
-	b = frame(b, closing)
-	tmp := fmt.Sprintf("unfinished-%08d", n)
+	if err := k.snapshot(page); err != nil {
+		c.Close()
+		k.dk.Remove(segName(k.gen))
+		return Error.Wrap(err)
+	}
+	k.cur = c
+	k.tidy()
+	return nil
+}
+
+func (k *Book) snapshot(page [][]byte) error {
+	b, err := frameAll(append(slices.Clip(page), closing))
+	if err != nil {
+		return err
+	}
+	tmp := fmt.Sprintf("unfinished-%08d", k.gen)
 	f, err := k.dk.Create(tmp)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	_, err = f.Write(b)
 	if err == nil {
@@ -242,27 +269,21 @@
 	}
 	f.Close()
 	if err == nil {
-		err = k.dk.Rename(tmp, snapName(n))
-	}
-	if err == nil {
-		err = k.dk.SyncFolder()
+		err = k.dk.Rename(tmp, snapName(k.gen))
 	}
 	if err != nil {
 		k.dk.Remove(tmp)
-		return Error.Wrap(err)
+		return err
 	}
-	c, err := k.dk.Create(segName(n))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if err := c.Sync(); err != nil {
-		c.Close()
-		return Error.Wrap(err)
-	}
-	k.cur = c
+	return k.dk.SyncFolder()
+}
+
+// tidy removes what the newest snapshot stands for. What is left, or comes back
+// after a loss of power, goes with the next turn.
+func (k *Book) tidy() {
 	ns, err := k.dk.List()
 	if err != nil {
-		return nil
+		return
 	}
 	for _, s := range ns {
 		a, ok := number(s, "segment-")
@@ -272,9 +293,8 @@
 		if !ok {
 			a, ok = number(s, "unfinished-")
 		}
-		if ok && a < n {
+		if ok && a < k.gen {
 			k.dk.Remove(s)
 		}
 	}
-	return nil
 }
