--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -26,6 +26,7 @@
 	maxConfig  = 16 << 20
 	heavyBody  = 512 << 10
 	mostBodies = 48 << 20
+	bodyWait   = 10 * time.Second
 	mostSteps  = 192 << 10
 	watchMost  = time.Minute
 )
@@ -442,11 +443,14 @@
 		return
 	}
 	defer fin()
+	ctl := http.NewResponseController(w)
+	ctl.SetReadDeadline(time.Now().Add(bodyWait))
 	b, err := body(w, c.r, maxConfig)
 	if err != nil {
-		write(w, verdict{out: tooBig(err)})
+		write(w, verdict{out: unread(err)})
 		return
 	}
+	ctl.SetReadDeadline(time.Time{})
 	on, err := dialplan.ParseStamp(c.r.Header.Get("If-Match"))
 	if err != nil {
 		write(w, verdict{out: malformed, why: "If-Match: " + err.Error()})
--- a/internal/desk/core_test.go
+++ b/internal/desk/core_test.go
@@ -97,10 +97,14 @@
 	w    *room
 	addr string
 	disk *shelf
-	l    *exchange.Loop
-	b    *exchange.Board
-	d    *Core
-	end  chan struct{}
+	life
+}
+
+type life struct {
+	l   *exchange.Loop
+	b   *exchange.Board
+	d   *Core
+	end chan struct{}
 }
 
 type room struct {
@@ -142,21 +146,20 @@
 	for _, x := range w.ms {
 		seeds = append(seeds, &trunk.Member{Addr: x.addr, Control: x.addr})
 	}
-	m.l, m.end = exchange.NewLoop(), make(chan struct{})
-	wr := writer{m.disk, m.l, make(chan job, 1<<16)}
-	end, l := m.end, m.l
+	l, end := exchange.NewLoop(), make(chan struct{})
+	wr := writer{m.disk, l, make(chan job, 1<<16)}
 	w.wg.Go(func() { wr.run(end) })
-	s := numbering.NewService(m.l, 4)
+	s := numbering.NewService(l, 4)
 	b, err := exchange.New(exchange.Options{Me: &trunk.Member{Addr: m.addr, Control: m.addr}, Seeds: seeds, First: first, Shards: 4,
 		Hold: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 1 << 18,
 		NewTable: func() exchange.Table { return numbering.NewTable(20 * time.Second) },
 		NewID:    func() string { w.ids++; return fmt.Sprint("id", w.ids) },
 		Now:      func() time.Duration { return time.Since(w.t0) }, Rand: func(int) int { return 0 },
-		OnCommit: s.Committed}, tube{m, m.l}, wr, m.disk.read())
+		OnCommit: s.Committed}, tube{m, l}, wr, m.disk.read())
 	qt.Assert(w.t, err, qt.IsNil)
 	s.Board = b
 	w.mu.Lock()
-	m.b, m.d = b, NewCore(s, 650*time.Millisecond)
+	m.life = life{l, b, NewCore(s, 650*time.Millisecond), end}
 	w.off[m.addr] = false
 	w.mu.Unlock()
 	w.wg.Go(func() { l.Run(50*time.Millisecond, b.Tick) })
@@ -179,24 +182,26 @@
 	w.mu.Unlock()
 }
 
-func (w *room) at(addr string) (*member, bool) {
+// at gives the life that a member leads, and whether it can be reached.
+func (w *room) at(addr string) (life, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, m := range w.ms {
 		if m.addr == addr {
-			return m, !w.off[addr]
+			return m.life, !w.off[addr]
 		}
 	}
-	return nil, false
+	return life{}, false
 }
 
 func (w *room) owner() *member {
 	for range 400 {
 		for _, m := range w.ms {
-			if _, up := w.at(m.addr); !up {
+			x, up := w.at(m.addr)
+			if !up {
 				continue
 			}
-			if own, _ := exchange.Ask(m.l, func() bool { _, own := m.b.Own(0); return own }); own {
+			if own, _ := exchange.Ask(x.l, func() bool { _, own := x.b.Own(0); return own }); own {
 				return m
 			}
 		}
@@ -220,7 +225,7 @@
 		var none R
 		t, up := x.m.w.at(to)
 		_, here := x.m.w.at(x.m.addr)
-		if t == nil || !up || !here {
+		if !up || !here {
 			<-ctx.Done()
 			x.l.Put(func() { cb(none) })
 			return
@@ -269,6 +274,7 @@
 		if s.on != "" {
 			r.Header.Set("If-Match", s.on)
 		}
+		time.Sleep(2 * time.Millisecond)
 		rec := httptest.NewRecorder()
 		m.d.ServeHTTP(rec, r)
 		u, err := url.Parse(rec.Header().Get("Location"))
--- a/internal/desk/orders_test.go
+++ b/internal/desk/orders_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -232,6 +235,22 @@
 	})
 }
 
+func TestBodyThatBreaksOffIsNoMalformedOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := furnish(t, 1)
+		defer w.close()
+		w.all(day(1), 200, "at first")
+		for _, s := range []sending{whole(5, 1, "h"), part(5, 1, "h"), {"PUT", "/-/cells/g.a", "", `{"payload":"v"}`}, {"POST", "/-/locks/l", "", `{"holderId":"a","holdS":3}`}} {
+			r := httptest.NewRequest(s.method, s.path, io.MultiReader(strings.NewReader(s.body), iotest.ErrReader(io.ErrUnexpectedEOF)))
+			r.Header.Set("If-Match", s.on)
+			rec := httptest.NewRecorder()
+			w.ms[0].d.ServeHTTP(rec, r)
+			qt.Check(t, rec.Code, qt.Equals, 503, qt.Commentf("%s %s", s.method, s.path))
+		}
+		qt.Assert(t, w.inForce(), qt.Equals, "r1")
+	})
+}
+
 // before is a disk as the release before wrote it, with what was taken inside
 // the configuration.
 func before(os []sending) *shelf {
--- a/internal/desk/outcome.go
+++ b/internal/desk/outcome.go
@@ -116,7 +116,7 @@
 		if c.r.Method != http.MethodGet && c.r.Method != http.MethodDelete || c.r.ContentLength > 0 {
 			var err error
 			if b, err = body(w, c.r, smallBody); err != nil {
-				write(w, verdict{out: tooBig(err)})
+				write(w, verdict{out: unread(err)})
 				return
 			}
 			if len(b) > 0 || c.r.Method == http.MethodPut {
@@ -139,12 +139,13 @@
 	return b.Bytes(), err
 }
 
-func tooBig(err error) outcome {
+// unread is the answer to a call whose body did not come whole.
+func unread(err error) outcome {
 	var x *http.MaxBytesError
 	if errors.As(err, &x) {
 		return tooLarge
 	}
-	return malformed
+	return busy
 }
 
 type entry struct {
