Orders: a configuration that can't be read is no refusal, and can be replaced

Cause: a kept configuration that could not be read counted as none: a patch got 400, a whole one 412, the read 404. Now the blob's own version decides, a patch and the read get 500, and a whole configuration on top of it is taken.

The count of bodies under way no longer waits for a configuration being read.

--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -42,7 +43,7 @@
 
 	mu     sync.Mutex
 	last   dialplan.Doc
-	bodies int64
+	bodies atomic.Int64
 	heavy  chan struct{}
 }
 
@@ -407,17 +408,12 @@
 	if n < 0 || n > maxConfig {
 		n = maxConfig
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.bodies+n > mostBodies {
+	fin = func() { d.bodies.Add(-n) }
+	if d.bodies.Add(n) > mostBodies {
+		fin()
 		return nil, false
 	}
-	d.bodies += n
-	return func() {
-		d.mu.Lock()
-		d.bodies -= n
-		d.mu.Unlock()
-	}, true
+	return fin, true
 }
 
 // alone waits until no other heavy order is being read, for as long as nothing
@@ -495,9 +491,9 @@
 	}
 	cur, err := decode(s.cur)
 	if err != nil {
-		write(w, verdict{out: unsure})
-		return
+		cur = &trunk.Config{}
 	}
+	cur.Stamp = on
 	doc, err := make(cur)
 	if errors.Is(err, errKept) {
 		write(w, verdict{out: unsure})
--- a/internal/desk/orders_test.go
+++ b/internal/desk/orders_test.go
@@ -231,14 +231,14 @@
 			if x.heavy {
 				d.heavy <- struct{}{}
 			}
-			d.bodies += x.bodies
+			d.bodies.Add(x.bodies)
 			c, _ := w.once("m0", x.o)
 			qt.Check(t, c, qt.Equals, x.code, qt.Commentf("%s", x.name))
-			d.bodies -= x.bodies
+			d.bodies.Add(-x.bodies)
 			if x.heavy {
 				<-d.heavy
 			}
-			qt.Check(t, d.bodies, qt.Equals, int64(0), qt.Commentf("%s", x.name))
+			qt.Check(t, d.bodies.Load(), qt.Equals, int64(0), qt.Commentf("%s", x.name))
 			qt.Check(t, len(d.heavy), qt.Equals, 0, qt.Commentf("%s", x.name))
 		}
 		qt.Assert(t, w.inForce(), qt.Equals, "r9")
@@ -319,6 +319,33 @@
 	}
 }
 
+func TestConfigurationThatCannotBeReadIsNoRefusal(t *testing.T) {
+	for _, data := range [][]byte{{0xff}, {18, 1, 0xff}} {
+		synctest.Test(t, func(t *testing.T) {
+			disk := before(day(8))
+			b, _ := proto.Marshal(&trunk.Record{Entry: &trunk.Entry{Epoch: 1, Stamp: 8, Change: &trunk.Change{Blob: &trunk.Blob{Name: "configuration", Data: data, Stamp: 20}}}})
+			disk.recs = append(disk.recs, b)
+			w := furnish(t, 1, disk)
+			defer w.close()
+			w.owner()
+			for i, x := range []struct {
+				s    sending
+				code int
+			}{
+				{sending{method: "GET", path: place}, 500},
+				{part(21, 20, "h"), 500},
+				{day(8)[7], 200},
+				{whole(21, 19, "h"), 412},
+				{whole(22, 20, "h"), 200},
+				{part(23, 22, "h"), 200},
+			} {
+				c, _ := w.once("m0", x.s)
+				qt.Check(t, c, qt.Equals, x.code, qt.Commentf("call %d", i))
+			}
+		})
+	}
+}
+
 func bareSum(o sending) []byte {
 	s := newOrder(o.method, 0, []byte(o.body)).bare
 	return append(s[:numbering.SumSize:numbering.SumSize], make([]byte, 16)...)
