--- a/internal/desk/forward.go
+++ b/internal/desk/forward.go
@@ -27,6 +27,7 @@
 	answered sentOn = iota
 	notSent
 	unclear
+	tooLong
 )
 
 // sendOn brings a call to the member that owns its shard and gives its answer.
@@ -56,9 +57,12 @@
 	}
 	defer p.Body.Close()
 	x, err := io.ReadAll(io.LimitReader(p.Body, mostAnswer+1))
-	if err != nil || len(x) > mostAnswer {
+	if err != nil {
 		return nil, nil, unclear
 	}
+	if len(x) > mostAnswer {
+		return nil, nil, tooLong
+	}
 	return p, x, answered
 }
 
@@ -79,6 +83,9 @@
 		case unclear:
 			write(w, verdict{out: unsure})
 			return
+		case tooLong:
+			write(w, v)
+			return
 		case notSent:
 			if time.Now().After(end) || c.r.Context().Err() != nil {
 				write(w, verdict{out: busy})
--- a/internal/desk/outcome.go
+++ b/internal/desk/outcome.go
@@ -2,9 +2,9 @@
 package desk
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -116,7 +116,7 @@
 		if c.r.Method != http.MethodGet && c.r.Method != http.MethodDelete || c.r.ContentLength > 0 {
 			var err error
 			if b, err = body(w, c.r, smallBody); err != nil {
-				write(w, verdict{out: tooBig(err)})
+				write(w, verdict{out: unread(err)})
 				return
 			}
 			if len(b) > 0 || c.r.Method == http.MethodPut {
@@ -131,15 +131,21 @@
 }
 
 func body(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var b bytes.Buffer
+	if r.ContentLength > 0 && r.ContentLength <= most {
+		b.Grow(int(r.ContentLength) + bytes.MinRead)
+	}
+	_, err := b.ReadFrom(http.MaxBytesReader(w, r.Body, most))
+	return b.Bytes(), err
 }
 
-func tooBig(err error) outcome {
+// unread is the answer to a call whose body did not come whole.
+func unread(err error) outcome {
 	var x *http.MaxBytesError
 	if errors.As(err, &x) {
 		return tooLarge
 	}
-	return malformed
+	return busy
 }
 
 type entry struct {
