--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	mrand "math/rand/v2"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"corkcove/internal/desk"
@@ -84,6 +86,33 @@
 	return v
 }
 
+func kept(t exchange.Table, viewEpoch uint64) *trunk.Kept {
+	c, v := t.Blob(desk.ConfigBlob), t.Blob(viewBlob)
+	return &trunk.Kept{Config: c.GetStamp(), ConfigSum: xxhash.Sum64(c.GetData()), View: v.GetStamp(), ViewEpoch: viewEpoch, ViewSum: xxhash.Sum64(v.GetData())}
+}
+
+// bundle gives what this member's copy of shard 0 holds of what the master names.
+func (c *coreNode) bundle(k *trunk.Kept) supervisor.Bundle {
+	type pair struct{ conf, view *trunk.Blob }
+	p, _ := exchange.Ask(c.loop, func() pair {
+		t := c.board.Table(0)
+		return pair{t.Blob(desk.ConfigBlob), t.Blob(viewBlob)}
+	})
+	var b supervisor.Bundle
+	if p.conf.GetStamp() == k.Config && k.Config > 0 && xxhash.Sum64(p.conf.Data) == k.ConfigSum {
+		x := &trunk.Config{}
+		if proto.Unmarshal(p.conf.Data, x) == nil {
+			b.Config = x.Packed
+		}
+	}
+	if p.view.GetStamp() == k.View && k.View > 0 && xxhash.Sum64(p.view.Data) == k.ViewSum {
+		if v := keptView(p.view); v.Epoch > 0 && v.Epoch == k.ViewEpoch {
+			b.View, _ = proto.Marshal(v.Lean())
+		}
+	}
+	return b
+}
+
 func users(t exchange.Table) map[string]string {
 	u := &trunk.UserStates{}
 	if b := t.Blob(usersBlob); b != nil {
@@ -110,8 +139,12 @@
 	conf := desk.ReadConfig(t)
 	c.conf = conf.Stamp
 	u, r := users(t), c.board.Roll()
-	kept := keptView(t.Blob(viewBlob))
-	c.master.Loop.Put(func() { c.master.Lead(epoch, kept, u, conf, r) })
+	view := keptView(t.Blob(viewBlob))
+	k := kept(t, view.Epoch)
+	c.master.Loop.Put(func() {
+		c.master.SetKept(k)
+		c.master.Lead(epoch, view, u, conf, r)
+	})
 }
 
 func (c *coreNode) onCommit(i int) {
@@ -183,9 +216,20 @@
 	return r, nil
 }
 
-// Relay brings what the master sends to some of its nodes.
+var errNotMine = errors.New("not the master that this member follows")
+
+// Relay brings what the master sends to some of its nodes, while this member's
+// lease to it runs: one that was cut off or frozen is not spoken for.
 func (c *coreNode) Relay(ctx context.Context, q *trunk.RelayReq) (*trunk.RelayResp, error) {
-	return supervisor.Relay(ctx, c.lines, q), nil
+	epoch := max(q.GetPoll().GetEpoch(), q.GetView().GetEpoch(), q.GetConfig().GetEpoch())
+	if now, _ := exchange.Ask(c.loop, func() bool { return c.board.Follows(0, epoch) }); !now {
+		return nil, errNotMine
+	}
+	var b supervisor.Bundle
+	if q.Kept != nil {
+		b = c.bundle(q.Kept)
+	}
+	return supervisor.Relay(ctx, c.lines, q, b), nil
 }
 
 // readList reads the platform's list while this node is the master. The time
@@ -251,7 +295,7 @@
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
 		Hot: hotOptions(o.Hot),
 		Me:  o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
-		Held: func() bool { return c.board.Held() }, Reached: func(a string) bool { return c.board.Reached(a) },
+		Held: func() bool { return c.board.Held() }, Reached: func(a string) bool { return c.board.Reached(a) }, Bundle: c.bundle,
 	}, exchange.NewLoop(), lines, c)
 	hist := options.Secs(o.Terms.Bounds.HistoryS)
 	c.board, err = exchange.New(exchange.Options{
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -568,6 +568,13 @@
 // hold right now.
 func (b *Board) Held() bool { return int64(b.now()) < b.held.Load() }
 
+// Follows tells whether this member's lease of the shard to the owner under that
+// epoch runs now.
+func (b *Board) Follows(i int, epoch uint64) bool {
+	s := b.shards[i]
+	return s.promised == epoch && b.now() < s.heldUntil
+}
+
 // Epoch0 is the epoch under which this member last served shard 0.
 func (b *Board) Epoch0() uint64 { return b.epoch.Load() }
 
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -927,3 +927,17 @@
 	a = ask(&trunk.Raise{Epoch: l.Epoch + 64, FromEpoch: l.Epoch + 640, FromStamp: l.Stamp})
 	qt.Assert(t, a.Gap && a.Promised == l.Epoch+640, qt.IsTrue)
 }
+
+// A member speaks for a master only while its own lease to it runs.
+func TestMembersFollowAnOwnerNoLongerThanTheirLease(t *testing.T) {
+	w := newWorld(t, 3, 3)
+	w.run(4 * time.Second)
+	_, own := w.ms["m0"].board.Own(0)
+	qt.Assert(t, own, qt.IsTrue)
+	e, b := w.ms["m0"].board.Epoch(0), w.ms["m1"].board
+	qt.Assert(t, b.Follows(0, e), qt.IsTrue)
+	qt.Assert(t, b.Follows(0, e-1) || b.Follows(0, e+1), qt.IsFalse)
+	w.isolate("m0", true)
+	w.run(w.now + time.Second)
+	qt.Assert(t, b.Follows(0, e), qt.IsFalse)
+}
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -41,8 +41,10 @@
 	// Reached tells whether another member is in touch; one that is not brings
 	// nothing to any node.
 	Reached func(addr string) bool
-	Note    func(f string, a ...any)
-	Trace   func(what string, epoch, stamp uint64)
+	// Bundle gives what this member holds of what is kept.
+	Bundle func(*trunk.Kept) Bundle
+	Note   func(f string, a ...any)
+	Trace  func(what string, epoch, stamp uint64)
 }
 
 func (o Options) rules() rules { return rules{o.Window, o.Crashes, o.Fails, o.Silent} }
@@ -71,6 +73,8 @@
 	hot     []*trunk.HotKey
 	view    *trunk.View
 	inner   []*trunk.Endpoint
+	kept    *trunk.Kept
+	dirty   bool
 	changed time.Duration
 	made    time.Duration
 	making  bool
@@ -161,7 +165,7 @@
 		}
 	}
 	m.sweep()
-	m.touch()
+	m.put()
 	m.SetConfig(conf)
 }
 
@@ -181,10 +185,14 @@
 	return l, ""
 }
 
+// SetKept names what shard 0 keeps; it is called before Lead.
+func (m *Master) SetKept(k *trunk.Kept) { m.kept = k }
+
 func (m *Master) Step() {
 	if !m.leading {
 		return
 	}
+	m.kept = nil
 	m.note("no longer master under epoch %d", m.epoch)
 	m.leading = false
 	for n, stop := range m.polls {
@@ -319,7 +327,7 @@
 		}
 		i++
 		after := time.Duration(i) * m.o.PerNode
-		req := &trunk.RelayReq{Poll: &trunk.PollReq{Epoch: ep, NextMs: uint64(min(m.spread(), next) / time.Millisecond)}}
+		req := &trunk.RelayReq{Poll: &trunk.PollReq{Epoch: ep, NextMs: uint64(min(m.spread(), next) / time.Millisecond)}, Kept: m.kept}
 		m.send("poll", req, &trunk.RelayTo{Name: name, Addr: h.state.Addr, Last: h.last}, func(a *trunk.RelayAck) {
 			if m.epoch != ep || !m.leading || m.hs[name] != h || m.polls[name] != nil {
 				return
@@ -472,7 +480,20 @@
 	m.touch()
 }
 
+// touch has the states put together anew, once for all that is heard meanwhile.
 func (m *Master) touch() {
+	if m.dirty {
+		return
+	}
+	m.dirty = true
+	time.AfterFunc(gatherFor, func() { m.Loop.Put(m.put) })
+}
+
+func (m *Master) put() {
+	m.dirty = false
+	if !m.leading {
+		return
+	}
 	es := compose(m.hs, m.users, m.listed)
 	ill := map[string]uint32{}
 	if len(m.listed) > 0 {
@@ -508,6 +529,9 @@
 	if now-m.made < max(m.o.Interval, m.cast()) || now-m.changed < m.o.Settle {
 		return
 	}
+	if m.dirty {
+		return
+	}
 	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && sameWidths(m.hot, m.view.Hot) && m.view.Roll.GetStamp() == m.roll.GetStamp() && len(m.view.NodeLines) == len(m.hs) {
 		return
 	}
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -18,9 +18,13 @@
 	relayOnce  = 8
 )
 
+// Bundle is what a member holds of what the master names as kept: a configuration
+// as it is delivered and a view as it is published, nil where it holds another.
+type Bundle struct{ Config, View []byte }
+
 // Relay brings a request of the master's to several nodes and gathers what they
 // say. It keeps nothing: order and epochs are the nodes' to check.
-func Relay(ctx context.Context, lines *trunk.Lines, q *trunk.RelayReq) *trunk.RelayResp {
+func Relay(ctx context.Context, lines *trunk.Lines, q *trunk.RelayReq, x Bundle) *trunk.RelayResp {
 	acks := make(chan *trunk.RelayAck, len(q.To))
 	sem := make(chan bool, relayOnce)
 	go func() {
@@ -31,7 +35,7 @@
 			go func() {
 				defer wg.Done()
 				defer func() { <-sem }()
-				if a := relayed(lines.Node(to.Addr), to, q); a != nil {
+				if a := relayed(lines.Node(to.Addr), to, q, x); a != nil {
 					acks <- a
 				}
 			}()
@@ -61,12 +65,15 @@
 	}
 }
 
-func relayed(n trunk.Node, to *trunk.RelayTo, q *trunk.RelayReq) *trunk.RelayAck {
+func relayed(n trunk.Node, to *trunk.RelayTo, q *trunk.RelayReq, x Bundle) *trunk.RelayAck {
 	a := &trunk.RelayAck{Name: to.Name}
 	var err error
 	switch {
 	case q.Poll != nil:
 		a.Poll, err = trunk.Call(relayMost, n.Poll, &trunk.PollReq{Epoch: q.Poll.Epoch, NextMs: q.Poll.NextMs, Name: to.Name, Last: to.Last})
+		if err == nil && !a.Poll.GetStale() {
+			x.fill(n, to, q, a.Poll.GetNode())
+		}
 	case q.View != nil:
 		a.View, err = trunk.Call(relayMost, n.Publish, &trunk.ViewReq{To: to.Name, Packed: q.View.Packed, Epoch: q.View.Epoch})
 	case q.Config != nil:
@@ -82,6 +89,27 @@
 	return a
 }
 
+// fill gives a node that has just started what it lacks, and notes that it has
+// it now.
+func (x Bundle) fill(n trunk.Node, to *trunk.RelayTo, q *trunk.RelayReq, s *trunk.NodeState) {
+	k := q.Kept
+	if s == nil || k == nil {
+		return
+	}
+	if s.ConfigStamp == 0 && x.Config != nil {
+		r, err := trunk.Call(2*relayMost, n.Deliver, &trunk.DeliverReq{Epoch: q.Poll.Epoch, Stamp: k.Config, Data: x.Config, To: to.Name})
+		if err == nil && r.Ok {
+			s.ConfigStamp = r.Stamp
+		}
+	}
+	if s.ViewStamp == 0 && x.View != nil {
+		r, err := trunk.Call(relayMost, n.Publish, &trunk.ViewReq{To: to.Name, Packed: x.View, Epoch: q.Poll.Epoch})
+		if err == nil && r.Ok {
+			s.ViewEpoch, s.ViewStamp = r.Epoch, r.Stamp
+		}
+	}
+}
+
 // fewDirect nodes are called by the master itself; more go through relays.
 const (
 	fewDirect  = 10
@@ -160,11 +188,18 @@
 	}
 }
 
+func (m *Master) bundle(k *trunk.Kept) Bundle {
+	if k == nil || m.o.Bundle == nil {
+		return Bundle{}
+	}
+	return m.o.Bundle(k)
+}
+
 func (m *Master) direct(p *parcel, to *trunk.RelayTo) {
 	n := m.lines.Node(to.Addr)
 	done := p.done[to.Name]
 	go func() {
-		a := relayed(n, to, p.req)
+		a := relayed(n, to, p.req, m.bundle(p.req.Kept))
 		m.Loop.Put(func() { done(a) })
 	}()
 }
@@ -173,7 +208,7 @@
 // is called directly, once; a member that does not answer is left out a while.
 func (m *Master) relay(p *parcel, addr string, to []*trunk.RelayTo) {
 	c := m.lines.Control(addr)
-	q := &trunk.RelayReq{To: to, View: p.req.View, Config: p.req.Config, Poll: p.req.Poll}
+	q := &trunk.RelayReq{To: to, View: p.req.View, Config: p.req.Config, Poll: p.req.Poll, Kept: p.req.Kept}
 	go func() {
 		r, err := trunk.Call(relayWait, c.Relay, q)
 		m.Loop.Put(func() {
--- a/internal/supervisor/relay_test.go
+++ b/internal/supervisor/relay_test.go
@@ -24,6 +24,7 @@
 	down   bool
 	hellos int
 	master string
+	bundle Bundle
 }
 
 func (r *relayer) Relay(ctx context.Context, q *trunk.RelayReq) (*trunk.RelayResp, error) {
@@ -36,7 +37,7 @@
 		<-ctx.Done()
 		return nil, errCut
 	}
-	return Relay(ctx, r.lines, q), nil
+	return Relay(ctx, r.lines, q, r.bundle), nil
 }
 
 func (r *relayer) Hello(context.Context, *trunk.HelloReq) (*trunk.HelloResp, error) {
