--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -31,7 +31,7 @@
 	viewBlob  = "view"
 	usersBlob = "users"
 	tick      = 50 * time.Millisecond
-	holdFor   = 900 * time.Millisecond
+	leaseFor  = 900 * time.Millisecond
 	beatEach  = 250 * time.Millisecond
 )
 
@@ -68,12 +68,12 @@
 	}
 	data = trunk.Pack(data)
 	_, err = numbering.Run(ctx, c.svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, bool) {
-		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Stamp: v.Stamp, Data: data}}, true
+		return &trunk.Change{Blob: &trunk.Blob{Name: viewBlob, Version: v.Version, Data: data}}, true
 	})
 	return err
 }
 
-// keptView reads the last view; of one that can't be read its stamp is kept.
+// keptView reads the last view; of one that can't be read its version is kept.
 func keptView(b *trunk.Blob) *trunk.View {
 	v := &trunk.View{}
 	if b == nil {
@@ -81,14 +81,14 @@
 	}
 	data, err := trunk.Unpack(b.Data)
 	if err != nil || proto.Unmarshal(data, v) != nil {
-		return &trunk.View{Stamp: b.Stamp}
+		return &trunk.View{Version: b.Version}
 	}
 	return v
 }
 
 func kept(t exchange.Table, viewEpoch uint64) *trunk.Kept {
 	c, v := t.Blob(desk.ConfigBlob), t.Blob(viewBlob)
-	return &trunk.Kept{Config: c.GetStamp(), ConfigSum: xxhash.Sum64(c.GetData()), View: v.GetStamp(), ViewEpoch: viewEpoch, ViewSum: xxhash.Sum64(v.GetData())}
+	return &trunk.Kept{Config: c.GetVersion(), ConfigSum: xxhash.Sum64(c.GetData()), View: v.GetVersion(), ViewEpoch: viewEpoch, ViewSum: xxhash.Sum64(v.GetData())}
 }
 
 // bundle gives what this member's copy of shard 0 holds of what the master names.
@@ -99,13 +99,13 @@
 		return pair{t.Blob(desk.ConfigBlob), t.Blob(viewBlob)}
 	})
 	var b supervisor.Bundle
-	if p.conf.GetStamp() == k.Config && k.Config > 0 && xxhash.Sum64(p.conf.Data) == k.ConfigSum {
+	if p.conf.GetVersion() == k.Config && k.Config > 0 && xxhash.Sum64(p.conf.Data) == k.ConfigSum {
 		x := &trunk.Config{}
 		if proto.Unmarshal(p.conf.Data, x) == nil {
 			b.Config = x.Packed
 		}
 	}
-	if p.view.GetStamp() == k.View && k.View > 0 && xxhash.Sum64(p.view.Data) == k.ViewSum {
+	if p.view.GetVersion() == k.View && k.View > 0 && xxhash.Sum64(p.view.Data) == k.ViewSum {
 		if v := keptView(p.view); v.Epoch > 0 && v.Epoch == k.ViewEpoch {
 			b.View, _ = proto.Marshal(v.Lean())
 		}
@@ -137,8 +137,8 @@
 	}
 	t := c.board.Table(0)
 	conf := desk.ReadConfig(t)
-	c.conf = conf.Stamp
-	u, r := users(t), c.board.Roll()
+	c.conf = conf.Version
+	u, r := users(t), c.board.Membership()
 	view := keptView(t.Blob(viewBlob))
 	k := kept(t, view.Epoch)
 	c.master.Loop.Put(func() {
@@ -153,9 +153,9 @@
 		return
 	}
 	t := c.board.Table(0)
-	if b := t.Blob(desk.ConfigBlob); b != nil && b.Stamp > c.conf {
+	if b := t.Blob(desk.ConfigBlob); b != nil && b.Version > c.conf {
 		conf := desk.ReadConfig(t)
-		c.conf = conf.Stamp
+		c.conf = conf.Version
 		c.master.Loop.Put(func() { c.master.SetConfig(conf) })
 	}
 }
@@ -166,7 +166,7 @@
 	if !supervisor.UserState(q.State) {
 		return &trunk.SetStateResp{Why: "a state is one of up, maintenance, retired, down"}, nil
 	}
-	held := c.board.Held()
+	held := c.board.Leased()
 	known, _ := exchange.Ask(c.master.Loop, func() bool { return c.master.Knows(q.Node) })
 	if !held {
 		return &trunk.SetStateResp{Why: "not the master", MasterAddr: c.masterAddr()}, nil
@@ -209,7 +209,7 @@
 		l, is := c.master.Hello(q.Node)
 		return &trunk.HelloResp{Master: is, Last: l}
 	})
-	r.Roll, _ = exchange.Ask(c.loop, func() *trunk.Roll { return c.board.Roll() })
+	r.Membership, _ = exchange.Ask(c.loop, func() *trunk.Membership { return c.board.Membership() })
 	if !r.Master {
 		r.MasterAddr = c.masterAddr()
 	}
@@ -242,7 +242,7 @@
 	back := 100 * time.Millisecond
 	duty := func() bool {
 		is, _ := exchange.Ask(c.master.Loop, c.master.Leading)
-		return is && c.board.Held()
+		return is && c.board.Leased()
 	}
 	for ctx.Err() == nil {
 		w := tick
@@ -294,14 +294,14 @@
 		Interval: 250 * time.Millisecond, PerNode: 4 * time.Millisecond, Settle: 60 * time.Millisecond, Transition: 150 * time.Millisecond, Linger: 2 * time.Second, LingerPer: 36 * time.Millisecond, LingerMost: 10 * time.Second,
 		Grace: 800 * time.Millisecond, Silent: 700 * time.Millisecond, Window: time.Minute, Crashes: 6, Fails: 2,
 		Hot: hotOptions(o.Hot),
-		Me:  o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, stamp uint64) { p.trace(tracer.View, what, epoch, stamp) },
-		Held: func() bool { return c.board.Held() }, Reached: func(a string) bool { return c.board.Reached(a) }, Bundle: c.bundle,
+		Me:  o.InnerAddr(), Now: p.now, Note: p.note("supervisor"), Trace: func(what string, epoch, version uint64) { p.trace(tracer.View, what, epoch, version) },
+		Leased: func() bool { return c.board.Leased() }, Reached: func(a string) bool { return c.board.Reached(a) }, Bundle: c.bundle,
 	}, exchange.NewLoop(), lines, c)
 	hist := options.Secs(o.Terms.Bounds.HistoryS)
 	c.board, err = exchange.New(exchange.Options{
-		Me:    &trunk.Member{Addr: o.InnerAddr(), Control: o.Network.Listen.Control, Site: o.Self.SiteName},
+		Me:    &trunk.Member{Addr: o.InnerAddr(), Control: o.Network.Listen.Control, Zone: o.Self.ZoneName},
 		Seeds: members(o), First: o.Self.FirstStart, Shards: shards,
-		Hold: holdFor, Beat: beatEach, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 4 << 20,
+		Lease: leaseFor, Beat: beatEach, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 4 << 20,
 		NewTable: func() exchange.Table {
 			t := numbering.NewTable(hist)
 			t.BoundPins(options.Secs(o.Pins.IdleS), max(o.Pins.Most/shards, 1))
@@ -309,7 +309,7 @@
 		},
 		NewID: newID, Now: p.now, Rand: mrand.IntN, Note: p.note("exchange"),
 		OnOwner: c.onOwner, OnCommit: c.onCommit, OnStep: c.onStep,
-		OnRoll: func(r *trunk.Roll) { c.master.Loop.Put(func() { c.master.SetRoll(r) }) },
+		OnMembership: func(r *trunk.Membership) { c.master.Loop.Put(func() { c.master.SetMembership(r) }) },
 	}, exchange.Net{Loop: loop, Lines: lines, Short: 600 * time.Millisecond, Long: 1500 * time.Millisecond}, exchange.Shelf{Loop: loop, Book: book}, recs)
 	if err != nil {
 		return err
@@ -326,7 +326,7 @@
 	go is.Serve(inner)
 	api := desk.NewCore(c.svc, 650*time.Millisecond)
 	api.Near = trunk.Transport(200*time.Millisecond, 700*time.Millisecond, 20*time.Second, 32)
-	api.Acked = func(stamp uint64) { p.trace(tracer.Config, "acknowledged", c.board.Epoch0(), stamp) }
+	api.Acked = func(version uint64) { p.trace(tracer.Config, "acknowledged", c.board.Epoch0(), version) }
 	cs := &http.Server{Handler: api, IdleTimeout: time.Minute, ReadHeaderTimeout: 5 * time.Second}
 	go cs.Serve(ctl)
 	go c.master.Loop.Run(tick, c.master.Tick)
--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -34,7 +34,7 @@
 		ls[i] = l
 	}
 	bd := o.Terms.Bounds
-	pools := switchboard.NewPools(o.Self.SiteName, 2.2, 5).Prefer(o.Self.NodeName, nearOnes)
+	pools := switchboard.NewPools(o.Self.ZoneName, 2.2, 5).Prefer(o.Self.NodeName, nearOnes)
 	var plan atomic.Pointer[dialplan.Table]
 	st := p.newStation(pools, &trunk.NodeState{})
 	ag := st.ag
--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -87,7 +87,7 @@
 	retSave := ret.Flag("save", "Keep the estimate in a file for check.").String()
 	add := est.Command("add", "Estimate the addition of an endpoint.")
 	addSvc := add.Arg("service", "Its service.").Required().String()
-	addSite := add.Arg("site", "Its site.").Required().String()
+	addZone := add.Arg("site", "Its site.").Required().String()
 	addSlots := add.Arg("slots", "Its slots.").Required().Uint32()
 	addSave := add.Flag("save", "Keep the estimate in a file for check.").String()
 	chk := est.Command("check", "Hold a kept estimate against the flows of the last seconds.")
@@ -141,7 +141,7 @@
 			case ret.FullCommand():
 				err = t.estimate(erlang.Change{Retire: *retWho}, *retSave)
 			case add.FullCommand():
-				err = t.estimate(erlang.Change{Add: &trunk.Endpoint{Id: "to-be-added", Service: *addSvc, Site: *addSite, Slots: *addSlots, State: "up", Node: "to-be-added"}}, *addSave)
+				err = t.estimate(erlang.Change{Add: &trunk.Endpoint{Id: "to-be-added", Service: *addSvc, Zone: *addZone, Slots: *addSlots, State: "up", Node: "to-be-added"}}, *addSave)
 			case chk.FullCommand():
 				err = t.checkEstimate(*chkFile, *chkIn)
 			}
--- a/cmd/corkcove/replaying.go
+++ b/cmd/corkcove/replaying.go
@@ -81,7 +81,7 @@
 	return nil
 }
 
-type viewMark struct{ epoch, stamp uint64 }
+type viewMark struct{ epoch, version uint64 }
 
 // saving writes nodes' records in the order that they come; one at a time.
 type saving struct {
@@ -111,13 +111,13 @@
 	}
 	q := &trunk.PartsReq{}
 	for _, v := range r.Views {
-		if !s.views[viewMark{v.Epoch, v.Stamp}] {
+		if !s.views[viewMark{v.Epoch, v.Version}] {
 			q.Views = append(q.Views, v)
 		}
 	}
 	for _, p := range r.Configs {
-		if !s.configs[p.Stamp] {
-			q.Configs = append(q.Configs, p.Stamp)
+		if !s.configs[p.Version] {
+			q.Configs = append(q.Configs, p.Version)
 		}
 	}
 	if len(q.Views)+len(q.Configs) == 0 {
@@ -128,11 +128,11 @@
 		return
 	}
 	for _, v := range p.Views {
-		s.views[viewMark{v.Epoch, v.Stamp}] = true
+		s.views[viewMark{v.Epoch, v.Version}] = true
 		s.err = errors.Join(s.err, s.w.View(v))
 	}
 	for _, d := range p.Configs {
-		s.configs[d.Stamp] = true
+		s.configs[d.Version] = true
 		s.err = errors.Join(s.err, s.w.Config(d))
 	}
 }
--- a/cmd/corkcove/sessions.go
+++ b/cmd/corkcove/sessions.go
@@ -65,7 +65,7 @@
 			h := hop{m.Key, m.Service + " " + m.From, m.ToService + " " + m.To, m.Why}
 			l := hops[h]
 			if l == nil {
-				l = &moveLine{Key: m.Key, From: h.from, To: h.to, Why: m.Why, Config: dialplan.FormatStamp(m.Config), at: m.AtUs}
+				l = &moveLine{Key: m.Key, From: h.from, To: h.to, Why: m.Why, Config: dialplan.FormatVersion(m.Config), at: m.AtUs}
 				hops[h] = l
 			}
 			l.at = min(l.at, m.AtUs)
@@ -100,7 +100,7 @@
 			p := seat{k, s.Endpoint}
 			l := lines[p]
 			if l == nil {
-				l = &sessionLine{Key: s.Key, Service: s.Service, Endpoint: s.Endpoint, Config: dialplan.FormatStamp(s.Config), Since: clock(s.SinceUs)}
+				l = &sessionLine{Key: s.Key, Service: s.Service, Endpoint: s.Endpoint, Config: dialplan.FormatVersion(s.Config), Since: clock(s.SinceUs)}
 				lines[p] = l
 			}
 			l.Pinned = l.Pinned || s.Pinned
@@ -203,7 +203,7 @@
 func (t *tool) sessions(since string) error {
 	var from uint64
 	if since != "" {
-		n, err := dialplan.ParseStamp(since)
+		n, err := dialplan.ParseVersion(since)
 		if err != nil {
 			return err
 		}
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -88,14 +88,14 @@
 		ls[i] = l
 	}
 	bd := o.Terms.Bounds
-	pools := switchboard.NewPools(o.Self.SiteName, 2.2, 5).Beside(o.Self.NodeName)
+	pools := switchboard.NewPools(o.Self.ZoneName, 2.2, 5).Beside(o.Self.NodeName)
 	var plan atomic.Pointer[dialplan.Table]
 	st := p.newStation(pools, &trunk.NodeState{Inbound: o.Network.Listen.Inbound, Service: o.Self.ServiceName})
 	ag := st.ag
 	sub := subscriber.New(subscriber.Options{Service: o.Self.ServiceName, Beat: options.Secs(o.Platform.BeatS), Missed: 3, Queue: 1.5,
 		Note: p.note("subscriber"), Changed: func(l subscriber.Life) {
 			ag.Set(func(n *trunk.NodeState) {
-				n.Endpoint = &trunk.Endpoint{Id: l.ID, Service: o.Self.ServiceName, Addr: o.Self.AppAddr, Site: o.Self.SiteName,
+				n.Endpoint = &trunk.Endpoint{Id: l.ID, Service: o.Self.ServiceName, Addr: o.Self.AppAddr, Zone: o.Self.ZoneName,
 					Slots: uint32(l.Slots), State: l.State, ColdMs: uint64(l.Cold / time.Millisecond), Release: l.Release, Sound: l.Sound, Ill: uint32(l.Ill)}
 			})
 		}})
@@ -167,7 +167,7 @@
 		t := dialplan.Compile(d)
 		cur = d
 		plan.Store(t)
-		tickets.Config(d.Stamp, d.Write)
+		tickets.Config(d.Version, d.Write)
 		then(t)
 	}
 	ag.OnConfig = func(_ uint64, data []byte) error {
@@ -178,7 +178,7 @@
 		use(d)
 		return nil
 	}
-	ag.OnPatch = func(stamp uint64, patches [][]byte) error {
+	ag.OnPatch = func(version uint64, patches [][]byte) error {
 		d := cur
 		for _, b := range patches {
 			p, err := dialplan.ReadPatch(b)
@@ -189,8 +189,8 @@
 				return err
 			}
 		}
-		if d.Stamp != stamp {
-			return dialplan.Error.New("the patches lead to %s, not %s", dialplan.FormatStamp(d.Stamp), dialplan.FormatStamp(stamp))
+		if d.Version != version {
+			return dialplan.Error.New("the patches lead to %s, not %s", dialplan.FormatVersion(d.Version), dialplan.FormatVersion(version))
 		}
 		use(d)
 		return nil
--- a/cmd/corkcove/station.go
+++ b/cmd/corkcove/station.go
@@ -32,7 +32,7 @@
 	lines := trunk.NewLines(&http.Client{Transport: trunk.Transport(300*time.Millisecond, 2*time.Second, 90*time.Second, 4)})
 	ag := &supervisor.Agent{Lines: lines, Seeds: o.SeedInner(), Life: newID(), Name: o.Self.NodeName, Quiet: 2400 * time.Millisecond,
 		Now: p.now, Note: p.note("supervisor"), Trace: p.trace}
-	n.Name, n.Life, n.Addr, n.Site, n.State = o.Self.NodeName, ag.Life, o.InnerAddr(), o.Self.SiteName, "up"
+	n.Name, n.Life, n.Addr, n.Zone, n.State = o.Self.NodeName, ag.Life, o.InnerAddr(), o.Self.ZoneName, "up"
 	ag.Start(n)
 	tickets := p.newTickets()
 	ag.OnView = func(v *trunk.View) {
--- a/cmd/corkcove/tickets.go
+++ b/cmd/corkcove/tickets.go
@@ -19,7 +19,7 @@
 func (t teller) Tickets(_ context.Context, q *trunk.TicketsReq) (*trunk.TicketsResp, error) {
 	r := t.tickets.Report(time.Duration(q.SpanUs)*time.Microsecond, q.From, q.Most)
 	s, b := t.o.Self, t.o.Terms.Bounds
-	r.Node, r.Site, r.Service, r.Role = s.NodeName, s.SiteName, s.ServiceName, t.role
+	r.Node, r.Zone, r.Service, r.Role = s.NodeName, s.ZoneName, s.ServiceName, t.role
 	r.Ratio, r.Slack, r.WindowS, r.Far, r.Heavy, r.Near = b.RetryRatio, b.RetrySlack, b.RetryWindowS, t.far, t.heavy, t.near
 	return r, nil
 }
--- a/cmd/corkcove/tools.go
+++ b/cmd/corkcove/tools.go
@@ -62,7 +62,7 @@
 			continue
 		}
 		out = append(out, r)
-		for _, m := range r.Roll.GetMembers() {
+		for _, m := range r.Membership.GetMembers() {
 			todo = append(todo, m.Addr)
 		}
 	}
@@ -100,8 +100,8 @@
 				own++
 			}
 		}
-		fmt.Fprintf(&b, "%-7s %-24s member=%v disk=%v roll %d of %d, %d of %d shards with an owner\n", role, s.Node, s.Member, s.DiskSound,
-			s.Roll.GetStamp(), len(s.Roll.GetMembers()), own, len(s.Shards))
+		fmt.Fprintf(&b, "%-7s %-24s member=%v disk=%v membership %d with %d, %d of %d shards with an owner\n", role, s.Node, s.Member, s.DiskSound,
+			s.Membership.GetVersion(), len(s.Membership.GetMembers()), own, len(s.Shards))
 	}
 	b.WriteString(shardText(ss))
 	m := ss[0]
@@ -120,7 +120,7 @@
 	b.WriteString("\n")
 	fmt.Fprintf(&b, "%-28s %-14s %-12s %-16s %-9s %-9s %-11s %s\n", "node", "site", "service", "endpoint", "reported", "official", "user", "why")
 	for _, n := range m.Nodes {
-		fmt.Fprintf(&b, "%-28s %-14s %-12s %-16s %-9s %-9s %-11s %s\n", n.Name, n.Site, n.Service, n.Endpoint, n.Reported, n.Official, n.User, n.Why)
+		fmt.Fprintf(&b, "%-28s %-14s %-12s %-16s %-9s %-9s %-11s %s\n", n.Name, n.Zone, n.Service, n.Endpoint, n.Reported, n.Official, n.User, n.Why)
 	}
 	t.print(ss, b.String())
 	return nil
@@ -136,7 +136,7 @@
 				continue
 			}
 			lose[l.Shard] = l.MayLose
-			fmt.Fprintf(&b, "shard %-2d owned by %-22s epoch %d, version %d, committed %d, lease for %d ms, may lose %d more", l.Shard, s.Node, l.Epoch, l.Stamp, l.Committed, l.LeaseMs, l.MayLose)
+			fmt.Fprintf(&b, "shard %-2d owned by %-22s epoch %d, version %d, committed %d, lease for %d ms, may lose %d more", l.Shard, s.Node, l.Epoch, l.Version, l.Committed, l.LeaseMs, l.MayLose)
 			for _, c := range l.Copies {
 				if c.Learner {
 					learners[c.Addr] = true
@@ -204,7 +204,7 @@
 func all(ss []*trunk.StatusResp) map[string]string {
 	at := map[string]string{}
 	for _, s := range ss {
-		for _, m := range s.Roll.GetMembers() {
+		for _, m := range s.Membership.GetMembers() {
 			at["core "+m.Addr] = m.Addr
 		}
 		for _, n := range s.Nodes {
@@ -250,7 +250,7 @@
 			fmt.Fprintf(stderr, "%s did not answer; its requests are left out\n", n.Name)
 			continue
 		}
-		os = append(os, erlang.Origin{Node: r.Node, Site: r.Site, Far: r.Far, Heavy: r.Heavy, Flows: r.Flows})
+		os = append(os, erlang.Origin{Node: r.Node, Zone: r.Zone, Far: r.Far, Heavy: r.Heavy, Flows: r.Flows})
 	}
 	return os, ss[0], nil
 }
@@ -263,7 +263,7 @@
 	var es []*trunk.Endpoint
 	for _, n := range s.Nodes {
 		if n.Official == supervisor.Up {
-			es = append(es, &trunk.Endpoint{Id: n.Endpoint, Service: n.Service, Site: n.Site, Slots: n.Slots, State: n.Official, Node: n.Name})
+			es = append(es, &trunk.Endpoint{Id: n.Endpoint, Service: n.Service, Zone: n.Zone, Slots: n.Slots, State: n.Official, Node: n.Name})
 		}
 	}
 	e, err := erlang.Run(from, es, c, erlang.Options{Span: 120 * time.Second, Seed: 1})
--- a/cmd/corkcove/tracing.go
+++ b/cmd/corkcove/tracing.go
@@ -37,7 +37,7 @@
 }
 
 func (t teller) Flows(context.Context, *trunk.FlowsReq) (*trunk.FlowsResp, error) {
-	r := &trunk.FlowsResp{Node: t.o.Self.NodeName, Site: t.o.Self.SiteName, Far: t.far, Heavy: t.heavy}
+	r := &trunk.FlowsResp{Node: t.o.Self.NodeName, Zone: t.o.Self.ZoneName, Far: t.far, Heavy: t.heavy}
 	if t.flows != nil {
 		f, span := t.flows.Report()
 		r.Flows, r.WindowS = f, span.Seconds()
@@ -45,23 +45,23 @@
 	return r, nil
 }
 
-func (p *process) trace(kind, what string, epoch, stamp uint64) {
-	p.steps.Add(tracer.Step{At: time.Now(), What: what, Kind: kind, Stamp: stamp, Epoch: epoch})
-	p.ring.Note("trace", "%s %d %s under epoch %d", kind, stamp, what, epoch)
+func (p *process) trace(kind, what string, epoch, version uint64) {
+	p.steps.Add(tracer.Step{At: time.Now(), What: what, Kind: kind, Version: version, Epoch: epoch})
+	p.ring.Note("trace", "%s %d %s under epoch %d", kind, version, what, epoch)
 }
 
-func (c *coreNode) onStep(what string, shard int, epoch, stamp uint64, g *trunk.Change) {
-	s := tracer.Step{At: time.Now(), What: what, Shard: shard, Epoch: epoch, Mark: stamp}
+func (c *coreNode) onStep(what string, shard int, epoch, version uint64, g *trunk.Change) {
+	s := tracer.Step{At: time.Now(), What: what, Shard: shard, Epoch: epoch, Mark: version}
 	switch {
 	case g == nil:
 	case g.Blob != nil && g.Blob.Name == desk.ConfigBlob:
-		s.Kind, s.Stamp = tracer.Config, g.Blob.Stamp
+		s.Kind, s.Version = tracer.Config, g.Blob.Version
 	case g.Blob != nil && g.Blob.Name == viewBlob:
-		s.Kind, s.Stamp = tracer.View, g.Blob.Stamp
+		s.Kind, s.Version = tracer.View, g.Blob.Version
 	case g.Pin != nil:
 		s.Kind = "pin " + g.Pin.Key
 	case g.Put != nil:
-		s.Kind, s.Stamp = "cell "+g.Put.Name, g.Put.Revision
+		s.Kind, s.Version = "cell "+g.Put.Name, g.Put.Revision
 	default:
 		return
 	}
@@ -71,16 +71,16 @@
 func (c *coreNode) Status(context.Context, *trunk.StatusReq) (*trunk.StatusResp, error) {
 	r := &trunk.StatusResp{Node: c.o.Self.NodeName}
 	exchange.Ask(c.loop, func() bool {
-		r.Roll, r.Shards, r.DiskSound, r.Member = c.board.Roll(), c.board.Lines(), c.board.Sound(), !c.board.Blank()
+		r.Membership, r.Shards, r.DiskSound, r.Member = c.board.Membership(), c.board.Lines(), c.board.Sound(), !c.board.Blank()
 		if m, ok := c.board.Owner(0); ok {
 			r.MasterAddr = m.Addr
 		}
 		return true
 	})
 	exchange.Ask(c.master.Loop, func() bool {
-		r.Master = c.master.Leading() && c.board.Held()
+		r.Master = c.master.Leading() && c.board.Leased()
 		v := c.master.View()
-		r.Epoch, r.View = v.Epoch, v.Stamp
+		r.Epoch, r.View = v.Epoch, v.Version
 		r.Config = c.master.Config()
 		if r.Master {
 			r.Nodes = c.master.Nodes()
--- a/cmd/hollow/main.go
+++ b/cmd/hollow/main.go
@@ -140,12 +140,12 @@
 	h.ag.OnView = func(v *trunk.View) {
 		h.ep.Store(v.Epoch)
 		h.ends.Store(int64(len(v.Endpoints)))
-		h.view.Store(v.Stamp)
+		h.view.Store(v.Version)
 	}
 	use := func(d dialplan.Doc) {
 		dialplan.Compile(d)
 		h.doc = d
-		h.conf.Store(d.Stamp)
+		h.conf.Store(d.Version)
 	}
 	h.ag.OnConfig = func(_ uint64, data []byte) error {
 		d, err := dialplan.Read(data)
@@ -154,7 +154,7 @@
 		}
 		return err
 	}
-	h.ag.OnPatch = func(stamp uint64, ps [][]byte) error {
+	h.ag.OnPatch = func(version uint64, ps [][]byte) error {
 		d := h.doc
 		for _, p := range ps {
 			x, err := dialplan.ReadPatch(p)
@@ -165,15 +165,15 @@
 				return err
 			}
 		}
-		if d.Stamp != stamp {
-			return fmt.Errorf("the patches lead to %d, not %d", d.Stamp, stamp)
+		if d.Version != version {
+			return fmt.Errorf("the patches lead to %d, not %d", d.Version, version)
 		}
 		use(d)
 		return nil
 	}
 	zone := fmt.Sprint("zone-", i%8)
-	h.ag.Start(&trunk.NodeState{Name: name, Life: life, Addr: h.addr, Inbound: h.addr, Site: zone, Service: fmt.Sprint("service-", i%b.service), State: "up",
-		Endpoint: &trunk.Endpoint{Id: "i-" + life, Service: fmt.Sprint("service-", i%b.service), Addr: h.addr, Site: zone, Slots: 8, State: "ready", Sound: true, Release: "v1"}})
+	h.ag.Start(&trunk.NodeState{Name: name, Life: life, Addr: h.addr, Inbound: h.addr, Zone: zone, Service: fmt.Sprint("service-", i%b.service), State: "up",
+		Endpoint: &trunk.Endpoint{Id: "i-" + life, Service: fmt.Sprint("service-", i%b.service), Addr: h.addr, Zone: zone, Slots: 8, State: "ready", Sound: true, Release: "v1"}})
 	mux := http.NewServeMux()
 	mux.Handle(trunk.NodePathPrefix, trunk.NewNodeServer(h.ag))
 	h.srv = &http.Server{Handler: mux, IdleTimeout: 3 * time.Minute, ErrorLog: log.New(io.Discard, "", 0)}
@@ -224,12 +224,12 @@
 	}
 }
 
-func (b *bench) config(stamp, routes, services int, timeout float64) []byte {
+func (b *bench) config(version, routes, services int, timeout float64) []byte {
 	var w bytes.Buffer
-	fmt.Fprintf(&w, `{"stamp":"r%d","resourceList":[`, stamp)
+	fmt.Fprintf(&w, `{"stamp":"r%d","resourceList":[`, version)
 	for i := range routes {
 		t := 3.0
-		if i == stamp%routes {
+		if i == version%routes {
 			t = timeout
 		}
 		fmt.Fprintf(&w, `{"variant":"bindingList","metadata":{"name":"r-%d"},"specification":{"hostname":"h%d.example","pathPrefix":"/p%d/","bindingKind":"pure","timeoutS":%g,"targetS":0.5,"rank":2,"serviceName":"service-%d","maxAttempts":2}},`, i, i%20, i, t, i%services)
@@ -241,7 +241,7 @@
 	return w.Bytes()
 }
 
-func (b *bench) put(cores, base, stamp int, body []byte) error {
+func (b *bench) put(cores, base, version int, body []byte) error {
 	end := time.Now().Add(20 * time.Second)
 	for i := 0; time.Now().Before(end); i++ {
 		q, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s:%d/-/configuration", coreIP(i%cores), control), bytes.NewReader(body))
@@ -261,7 +261,7 @@
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return fmt.Errorf("configuration r%d was not acknowledged within 20 s", stamp)
+	return fmt.Errorf("configuration r%d was not acknowledged within 20 s", version)
 }
 
 type sheet struct {
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,7 +28,7 @@
 	addr := ep.Flag("addr", "Where to listen: the sidecar's appAddr.").Required().String()
 	control := ep.Flag("control", "The sidecar's controlAddr; none in a gateway.").String()
 	service := ep.Flag("service", "Service name.").Required().String()
-	site := ep.Flag("site", "Site name.").Default("one").String()
+	zone := ep.Flag("site", "Site name.").Default("one").String()
 	slots := ep.Flag("slots", "Requests worked on at once.").Default("8").Int()
 	work := ep.Flag("work", "Time a request takes.").Default("20ms").Duration()
 	beat := ep.Flag("beat", "Time between beats.").Default("1s").Duration()
@@ -79,7 +79,7 @@
 			return
 		}
 		seq++
-		x, _ := json.Marshal(map[string]any{"serviceName": *service, "address": *addr, "siteName": *site, "stamp": "v1", "slotCount": *slots,
+		x, _ := json.Marshal(map[string]any{"serviceName": *service, "address": *addr, "siteName": *zone, "stamp": "v1", "slotCount": *slots,
 			"state": state, "coldLeftS": 0, "callSeq": seq})
 		q, _ := http.NewRequest(method, "http://"+*control+"/-/endpoints/"+id, bytes.NewReader(x))
 		hc := &http.Client{Timeout: time.Second}
--- a/internal/cord/cord.go
+++ b/internal/cord/cord.go
@@ -30,7 +30,7 @@
 	// Loose: no core answered, so the session follows the hash for now.
 	Loose
 	// Hold: the session must move, and the move is not recorded yet.
-	Hold
+	Lease
 )
 
 // Key is how a session is named in the control state and shown.
@@ -247,7 +247,7 @@
 				return Place{Service: at.service, Endpoint: p.endpoint}
 			}
 			if d := c.settled(p.endpoint, p.sat); d > 0 {
-				return Place{State: Hold, Wait: d}
+				return Place{State: Lease, Wait: d}
 			}
 			from, why = p.endpoint, w
 		}
@@ -257,12 +257,12 @@
 		}
 		want := Candidate(q.Key, seats.Free(service))
 		if want == "" {
-			return Place{State: Hold, Wait: c.o.Settle}
+			return Place{State: Lease, Wait: c.o.Settle}
 		}
 		r, err := c.o.Ask(ctx, &trunk.PinReq{Key: q.Key, Allowed: q.Allowed, Service: service, Want: want, From: from, Why: why, Config: c.o.Config()})
 		if err != nil || !r.Ok || r.Endpoint == "" {
 			if known {
-				return Place{State: Hold, Wait: c.o.Settle}
+				return Place{State: Lease, Wait: c.o.Settle}
 			}
 			c.set(spot{q.Key, service}, want, false)
 			return Place{Service: service, Endpoint: want, State: Loose}
@@ -285,7 +285,7 @@
 		ok, _ := seats.Sits(to.service, r.Endpoint)
 		p = plug{endpoint: r.Endpoint, sat: ok}
 	}
-	return Place{State: Hold, Wait: c.o.Settle}
+	return Place{State: Lease, Wait: c.o.Settle}
 }
 
 // Known plugs a session in where it is known to be.
--- a/internal/cord/cord_test.go
+++ b/internal/cord/cord_test.go
@@ -263,9 +263,9 @@
 	ss, _, _ := silent.Report(0)
 	qt.Assert(t, ss[1].Pinned, qt.IsFalse)
 	see.up["s"] = slices.DeleteFunc(slices.Clone(see.up["s"]), func(e string) bool { return e == was })
-	qt.Assert(t, q("k1").State, qt.Equals, Hold)
+	qt.Assert(t, q("k1").State, qt.Equals, Lease)
 	now = now.Add(time.Second)
-	qt.Assert(t, q("k1").State, qt.Equals, Hold, qt.Commentf("a move that is not recorded is not made"))
+	qt.Assert(t, q("k1").State, qt.Equals, Lease, qt.Commentf("a move that is not recorded is not made"))
 }
 
 func TestVersionThatForbidsTheServiceMovesTheSessionAndSaysSo(t *testing.T) {
--- a/internal/desk/beats.go
+++ b/internal/desk/beats.go
@@ -15,8 +15,8 @@
 type beatReq struct {
 	ServiceName string  `json:"serviceName"`
 	Address     string  `json:"address"`
-	SiteName    string  `json:"siteName"`
-	Stamp       string  `json:"stamp"`
+	ZoneName    string  `json:"siteName"`
+	Version     string  `json:"stamp"`
 	SlotCount   int     `json:"slotCount"`
 	State       string  `json:"state"`
 	ColdLeftS   float64 `json:"coldLeftS"`
@@ -37,7 +37,7 @@
 	if q.SlotCount < 1 {
 		return verdict{out: malformed, why: "slotCount must be 1 at least"}
 	}
-	b.sub.Beat(subscriber.Beat{ID: c.id, Service: q.ServiceName, Addr: q.Address, Site: q.SiteName, Release: q.Stamp,
+	b.sub.Beat(subscriber.Beat{ID: c.id, Service: q.ServiceName, Addr: q.Address, Zone: q.ZoneName, Release: q.Version,
 		Slots: q.SlotCount, State: q.State, Cold: time.Duration(q.ColdLeftS * float64(time.Second)), Seq: q.CallSeq})
 	return verdict{body: none{}}
 }
--- a/internal/desk/core.go
+++ b/internal/desk/core.go
@@ -39,7 +39,7 @@
 	Step    time.Duration
 	// Near reaches the other members; without it callers are redirected.
 	Near  http.RoundTripper
-	Acked func(stamp uint64)
+	Acked func(version uint64)
 
 	mu     sync.Mutex
 	last   dialplan.Doc
@@ -297,7 +297,7 @@
 func (d *Core) doc(c *trunk.Config) (dialplan.Doc, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.last.Stamp == c.Stamp {
+	if d.last.Version == c.Version {
 		return d.last, nil
 	}
 	b, err := trunk.Unpack(c.Packed)
@@ -320,7 +320,7 @@
 
 func newOrder(method string, on uint64, b []byte) order {
 	h := sha256.New()
-	io.WriteString(h, method+" "+dialplan.FormatStamp(on)+" ")
+	io.WriteString(h, method+" "+dialplan.FormatVersion(on)+" ")
 	h.Write(b)
 	g := sha256.New()
 	io.WriteString(g, method+" ")
@@ -344,10 +344,10 @@
 func (d *Core) decide(ctx context.Context, o order, next *trunk.Blob) (standing, error) {
 	return numbering.RunAgain(ctx, d.Svc, 0, func(t *numbering.Table, _ time.Duration) (*trunk.Change, standing, bool) {
 		s := o.standing(t)
-		if s.taken || s.cur.GetStamp() != o.on {
+		if s.taken || s.cur.GetVersion() != o.on {
 			return nil, s, s.taken
 		}
-		return &trunk.Change{Blob: next, Taken: &trunk.Taken{Stamp: next.Stamp, Sum: o.sum}}, standing{cur: next, taken: true}, false
+		return &trunk.Change{Blob: next, Taken: &trunk.Taken{Version: next.Version, Sum: o.sum}}, standing{cur: next, taken: true}, false
 	})
 }
 
@@ -362,7 +362,7 @@
 	if s.taken {
 		return verdict{body: none{}}
 	}
-	return verdict{out: moved, why: "the configuration in force is " + dialplan.FormatStamp(s.cur.GetStamp())}
+	return verdict{out: moved, why: "the configuration in force is " + dialplan.FormatVersion(s.cur.GetVersion())}
 }
 
 var errKept = Error.New("the configuration in force can't be read")
@@ -370,15 +370,15 @@
 func (d *Core) putConfig(w http.ResponseWriter, c call) {
 	d.change(w, c, func(b []byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
 		doc, err := dialplan.Read(b)
-		return doc.Stamp, func(*trunk.Config) (dialplan.Doc, error) { return doc, nil }, err
+		return doc.Version, func(*trunk.Config) (dialplan.Doc, error) { return doc, nil }, err
 	})
 }
 
 func (d *Core) patchConfig(w http.ResponseWriter, c call) {
 	d.change(w, c, func(b []byte) (uint64, func(*trunk.Config) (dialplan.Doc, error), error) {
 		p, err := dialplan.ReadPatch(b)
-		return p.Stamp, func(cur *trunk.Config) (dialplan.Doc, error) {
-			if cur.Stamp == 0 {
+		return p.Version, func(cur *trunk.Config) (dialplan.Doc, error) {
+			if cur.Version == 0 {
 				return dialplan.Doc{}, dialplan.Error.New("there is no configuration to change")
 			}
 			old, err := d.doc(cur)
@@ -447,7 +447,7 @@
 		return
 	}
 	ctl.SetReadDeadline(time.Time{})
-	on, err := dialplan.ParseStamp(c.r.Header.Get("If-Match"))
+	on, err := dialplan.ParseVersion(c.r.Header.Get("If-Match"))
 	if err != nil {
 		write(w, verdict{out: malformed, why: "If-Match: " + err.Error()})
 		return
@@ -462,7 +462,7 @@
 		write(w, s.verdict())
 		return
 	}
-	if s.forgotten == 0 && s.cur.GetStamp() != on {
+	if s.forgotten == 0 && s.cur.GetVersion() != on {
 		write(w, s.verdict())
 		return
 	}
@@ -481,19 +481,19 @@
 		write(w, verdict{out: unsure})
 		return
 	}
-	if s.cur.GetStamp() != on {
+	if s.cur.GetVersion() != on {
 		write(w, s.verdict())
 		return
 	}
 	if version <= on {
-		write(w, verdict{out: unprocessable, why: "stamp " + dialplan.FormatStamp(version) + " is not above " + dialplan.FormatStamp(on)})
+		write(w, verdict{out: unprocessable, why: "stamp " + dialplan.FormatVersion(version) + " is not above " + dialplan.FormatVersion(on)})
 		return
 	}
 	cur, err := decode(s.cur)
 	if err != nil {
 		cur = &trunk.Config{}
 	}
-	cur.Stamp = on
+	cur.Version = on
 	doc, err := make(cur)
 	if errors.Is(err, errKept) {
 		write(w, verdict{out: unsure})
@@ -508,7 +508,7 @@
 		write(w, verdict{out: unsure})
 		return
 	}
-	next := &trunk.Blob{Name: ConfigBlob, Data: data, Stamp: version}
+	next := &trunk.Blob{Name: ConfigBlob, Data: data, Version: version}
 	s, v, done = at(d, c, 0, func(ctx context.Context) (standing, error) { return d.decide(ctx, o, next) })
 	if !done {
 		write(w, v)
@@ -527,10 +527,10 @@
 
 // following is doc as it is kept, with the steps that lead to it.
 func (d *Core) following(cur *trunk.Config, doc dialplan.Doc) ([]byte, error) {
-	next := &trunk.Config{Stamp: doc.Stamp, Packed: trunk.Pack(doc.Write())}
-	if cur.Stamp > 0 {
+	next := &trunk.Config{Version: doc.Version, Packed: trunk.Pack(doc.Write())}
+	if cur.Version > 0 {
 		if old, err := d.doc(cur); err == nil {
-			next.Steps = keepSteps(append(cur.Steps, &trunk.Step{Base: cur.Stamp, Stamp: doc.Stamp, Patch: trunk.Pack(doc.Since(old))}))
+			next.Steps = keepSteps(append(cur.Steps, &trunk.Step{Base: cur.Version, Version: doc.Version, Patch: trunk.Pack(doc.Since(old))}))
 		}
 	}
 	return proto.Marshal(next)
--- a/internal/desk/core_test.go
+++ b/internal/desk/core_test.go
@@ -151,7 +151,7 @@
 	w.wg.Go(func() { wr.run(end) })
 	s := numbering.NewService(l, 4)
 	b, err := exchange.New(exchange.Options{Me: &trunk.Member{Addr: m.addr, Control: m.addr}, Seeds: seeds, First: first, Shards: 4,
-		Hold: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 1 << 18,
+		Lease: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 1 << 18,
 		NewTable: func() exchange.Table { return numbering.NewTable(20 * time.Second) },
 		NewID:    func() string { w.ids++; return fmt.Sprint("id", w.ids) },
 		Now:      func() time.Duration { return time.Since(w.t0) }, Rand: func(int) int { return 0 },
@@ -238,8 +238,8 @@
 	})
 }
 
-func (x tube) Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp)) {
-	pass(x, to.Addr, q, cb, exchange.Door.Hold)
+func (x tube) Lease(to *trunk.Member, q *trunk.LeaseReq, cb func(*trunk.LeaseResp)) {
+	pass(x, to.Addr, q, cb, exchange.Door.Lease)
 }
 func (x tube) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
 	pass(x, to.Addr, q, cb, exchange.Door.Copy)
--- a/internal/desk/desk_test.go
+++ b/internal/desk/desk_test.go
@@ -33,7 +33,7 @@
 	me := &trunk.Member{Addr: "a", Control: "c"}
 	s := numbering.NewService(l, 4)
 	b, err := exchange.New(exchange.Options{Me: me, Seeds: []*trunk.Member{me}, First: true, Shards: 4,
-		Hold: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, LogBytes: 1 << 20,
+		Lease: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, LogBytes: 1 << 20,
 		NewTable: func() exchange.Table { return numbering.NewTable(20 * time.Second) }, NewID: func() string { return "x" },
 		Now: func() time.Duration { return time.Since(t0) }, Rand: func(int) int { return 0 },
 		OnCommit: s.Committed}, exchange.Net{Loop: l}, book{l}, nil)
@@ -53,8 +53,8 @@
 	return w.Code, w.Body.String()
 }
 
-func conf(stamp, host string) string {
-	return `{"stamp":"` + stamp + `","resourceList":[{"variant":"bindingList","metadata":{"name":"b"},"specification":{"hostname":"` + host +
+func conf(version, host string) string {
+	return `{"stamp":"` + version + `","resourceList":[{"variant":"bindingList","metadata":{"name":"b"},"specification":{"hostname":"` + host +
 		`","pathPrefix":"/","bindingKind":"pure","serviceName":"s"}},{"variant":"serviceList","metadata":{"name":"s"},"specification":{}}]}`
 }
 
@@ -109,7 +109,7 @@
 	})
 }
 
-func TestOfTwoChangesOnOneStampOneWins(t *testing.T) {
+func TestOfTwoChangesOnOneVersionOneWins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := open(t)
 		defer o.l.Close()
--- a/internal/desk/orders_test.go
+++ b/internal/desk/orders_test.go
@@ -21,7 +21,7 @@
 
 const place = "/-/configuration"
 
-func version(n uint64) string { return dialplan.FormatStamp(n) }
+func version(n uint64) string { return dialplan.FormatVersion(n) }
 
 func whole(n, on uint64, host string) sending {
 	on1 := version(on)
@@ -118,7 +118,7 @@
 			defer w.close()
 			os := day(12)
 			w.all(os, 200, "at first")
-			on, _ := dialplan.ParseStamp(w.inForce())
+			on, _ := dialplan.ParseVersion(w.inForce())
 			for i, x := range []struct{ one, two sending }{
 				{whole(on+5, on, "one"), whole(on+5, on, "two")},
 				{part(on+9, on+5, "one"), part(on+9, on+5, "two")},
@@ -170,7 +170,7 @@
 	_, b := w.sure(0, sending{method: "GET", path: place})
 	d, err := dialplan.Read([]byte(b))
 	qt.Assert(w.t, err, qt.IsNil)
-	return version(d.Stamp)
+	return version(d.Version)
 }
 
 func TestWhatWasFoundButIsNotSafeIsNoPromise(t *testing.T) {
@@ -270,7 +270,7 @@
 		s.recs = append(s.recs, b)
 	}
 	put(&trunk.Record{Identity: &trunk.Identity{Id: "founder-m0"}})
-	put(&trunk.Record{Roll: &trunk.Roll{Stamp: 1, Members: []*trunk.Member{{Id: "founder-m0", Addr: "m0", Control: "m0"}}}})
+	put(&trunk.Record{Membership: &trunk.Membership{Version: 1, Members: []*trunk.Member{{Id: "founder-m0", Addr: "m0", Control: "m0"}}}})
 	old := &trunk.TakenWithin{}
 	var doc dialplan.Doc
 	for i, o := range os {
@@ -280,15 +280,15 @@
 			p, _ := dialplan.ReadPatch([]byte(o.body))
 			doc, _ = doc.With(p)
 		}
-		old.Taken = append(old.Taken, &trunk.Taken{Stamp: doc.Stamp, Sum: bareSum(o)})
+		old.Taken = append(old.Taken, &trunk.Taken{Version: doc.Version, Sum: bareSum(o)})
 		old.Taken = old.Taken[max(0, len(old.Taken)-256):]
-		a, _ := proto.Marshal(&trunk.Config{Stamp: doc.Stamp, Packed: trunk.Pack(doc.Write())})
+		a, _ := proto.Marshal(&trunk.Config{Version: doc.Version, Packed: trunk.Pack(doc.Write())})
 		b, _ := proto.Marshal(old)
-		blob := &trunk.Blob{Name: "configuration", Data: append(a, b...), Stamp: doc.Stamp}
+		blob := &trunk.Blob{Name: "configuration", Data: append(a, b...), Version: doc.Version}
 		if i == len(os)-5 {
-			put(&trunk.Record{State: &trunk.ShardState{Epoch: 1, Stamp: uint64(i), Blobs: []*trunk.Blob{blob}}})
+			put(&trunk.Record{State: &trunk.ShardState{Epoch: 1, Version: uint64(i), Blobs: []*trunk.Blob{blob}}})
 		} else if i > len(os)-5 {
-			put(&trunk.Record{Entry: &trunk.Entry{Epoch: 1, Stamp: uint64(i), Change: &trunk.Change{Blob: blob}}})
+			put(&trunk.Record{Entry: &trunk.Entry{Epoch: 1, Version: uint64(i), Change: &trunk.Change{Blob: blob}}})
 		}
 	}
 	return s
@@ -300,7 +300,7 @@
 			os := day(n)
 			disk := before(os)
 			w := furnish(t, 1, disk)
-			on, _ := dialplan.ParseStamp(w.inForce())
+			on, _ := dialplan.ParseVersion(w.inForce())
 			known := os[max(0, n-4-256):]
 			w.all(known, 200, "after the upgrade")
 			for _, o := range os[:n-len(known)] {
@@ -323,7 +323,7 @@
 	for _, data := range [][]byte{{0xff}, {18, 1, 0xff}} {
 		synctest.Test(t, func(t *testing.T) {
 			disk := before(day(8))
-			b, _ := proto.Marshal(&trunk.Record{Entry: &trunk.Entry{Epoch: 1, Stamp: 8, Change: &trunk.Change{Blob: &trunk.Blob{Name: "configuration", Data: data, Stamp: 20}}}})
+			b, _ := proto.Marshal(&trunk.Record{Entry: &trunk.Entry{Epoch: 1, Version: 8, Change: &trunk.Change{Blob: &trunk.Blob{Name: "configuration", Data: data, Version: 20}}}})
 			disk.recs = append(disk.recs, b)
 			w := furnish(t, 1, disk)
 			defer w.close()
--- a/internal/desk/races_test.go
+++ b/internal/desk/races_test.go
@@ -111,7 +111,7 @@
 		if c, b := w.once(w.ms[rng.Intn(len(w.ms))].addr, sending{method: "GET", path: place}); c == 200 {
 			d, err := dialplan.Read([]byte(b))
 			qt.Check(w.t, err, qt.IsNil)
-			on = d.Stamp
+			on = d.Version
 		} else if c != 404 {
 			continue
 		}
@@ -178,7 +178,7 @@
 			}
 			wg.Go(func() { w.trouble(rand.New(rand.NewSource(-seed)), end) })
 			wg.Wait()
-			in, _ := dialplan.ParseStamp(w.inForce())
+			in, _ := dialplan.ParseVersion(w.inForce())
 			for o, v := range l.taken {
 				qt.Check(t, v <= in, qt.IsTrue, qt.Commentf("%s: %s was taken, %s is in force", l.name, version(v), version(in)))
 				c, _ := w.sure(int(seed), o)
--- a/internal/dialplan/dialplan_test.go
+++ b/internal/dialplan/dialplan_test.go
@@ -76,10 +76,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	back, err := Read(n.Write())
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, back.Stamp, qt.Equals, uint64(9))
+	qt.Check(t, back.Version, qt.Equals, uint64(9))
 	qt.Check(t, len(back.Items), qt.Equals, 5)
 	qt.Check(t, strings.Contains(string(n.Write()), `"unheardOf":[1,{}]`), qt.IsTrue)
-	_, err = d.With(Patch{Stamp: 9, Removals: map[string][]string{"serviceList": {"s1"}}})
+	_, err = d.With(Patch{Version: 9, Removals: map[string][]string{"serviceList": {"s1"}}})
 	qt.Check(t, err, qt.ErrorMatches, ".*unknown.*")
 }
 
--- a/internal/dialplan/diff.go
+++ b/internal/dialplan/diff.go
@@ -21,7 +21,7 @@
 	var e jx.Encoder
 	e.ObjStart()
 	e.FieldStart("stamp")
-	e.Str(FormatStamp(c.Stamp))
+	e.Str(FormatVersion(c.Version))
 	e.FieldStart("upserts")
 	e.ObjStart()
 	e.FieldStart("resourceList")
@@ -52,7 +52,7 @@
 	return append([]byte(nil), e.Bytes()...)
 }
 
-// Sum tells configurations apart by their content, whatever their stamp and the
+// Sum tells configurations apart by their content, whatever their version and the
 // order of their entries.
 func (c Doc) Sum() string {
 	var all [][]byte
--- a/internal/dialplan/diff_test.go
+++ b/internal/dialplan/diff_test.go
@@ -11,8 +11,8 @@
 // Any two configurations: the patch between them leads from one to the other.
 func TestPatchesLeadToTheSameConfiguration(t *testing.T) {
 	rng := rand.New(rand.NewPCG(4, 2))
-	draw := func(stamp int) []byte {
-		b := fmt.Appendf(nil, `{"stamp":"r%d","resourceList":[{"variant":"serviceList","metadata":{"name":"s"},"specification":{"soundnessPath":"/h"}}`, stamp)
+	draw := func(version int) []byte {
+		b := fmt.Appendf(nil, `{"stamp":"r%d","resourceList":[{"variant":"serviceList","metadata":{"name":"s"},"specification":{"soundnessPath":"/h"}}`, version)
 		if rng.IntN(2) == 0 {
 			b = fmt.Appendf(b, `,{"variant":"limitSet","metadata":{},"specification":{"headerBytes":%d}}`, 1000+rng.IntN(2))
 		}
@@ -40,7 +40,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		got, err := old.With(pt)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, got.Stamp, qt.Equals, want.Stamp)
+		qt.Assert(t, got.Version, qt.Equals, want.Version)
 		qt.Assert(t, text(got), qt.DeepEquals, text(want))
 	}
 }
--- a/internal/dialplan/read.go
+++ b/internal/dialplan/read.go
@@ -220,17 +220,17 @@
 }
 
 type Doc struct {
-	Stamp uint64
-	Items []Item
+	Version uint64
+	Items   []Item
 }
 
 type Patch struct {
-	Stamp    uint64
+	Version  uint64
 	Upserts  []Item
 	Removals map[string][]string
 }
 
-func ParseStamp(s string) (uint64, error) {
+func ParseVersion(s string) (uint64, error) {
 	t := strings.TrimPrefix(strings.Trim(strings.TrimSpace(s), `"`), "r")
 	n, err := strconv.ParseUint(t, 10, 64)
 	if err != nil {
@@ -239,7 +239,7 @@
 	return n, nil
 }
 
-func FormatStamp(n uint64) string { return "r" + strconv.FormatUint(n, 10) }
+func FormatVersion(n uint64) string { return "r" + strconv.FormatUint(n, 10) }
 
 func secs(d *jx.Decoder) (time.Duration, error) {
 	f, err := d.Float64()
@@ -285,7 +285,7 @@
 	return fmt.Errorf("%s: %w", where, err)
 }
 
-func readStamp(d *jx.Decoder, to *uint64) error {
+func readVersion(d *jx.Decoder, to *uint64) error {
 	s, err := d.Str()
 	if err != nil {
 		return err
@@ -293,7 +293,7 @@
 	if !strings.HasPrefix(s, "r") {
 		return fmt.Errorf("%q is no stamp such as r12", s)
 	}
-	*to, err = ParseStamp(s)
+	*to, err = ParseVersion(s)
 	return err
 }
 
@@ -528,7 +528,7 @@
 	if err := jx.DecodeBytes(b).Obj(func(d *jx.Decoder, k string) (err error) {
 		switch k {
 		case "stamp":
-			return at(k, readStamp(d, &c.Stamp))
+			return at(k, readVersion(d, &c.Version))
 		case "resourceList":
 			list = true
 			c.Items, err = readItems(d)
@@ -538,7 +538,7 @@
 	}); err != nil {
 		return Doc{}, Error.Wrap(err)
 	}
-	if c.Stamp == 0 {
+	if c.Version == 0 {
 		return Doc{}, Error.New("stamp is missing or 0")
 	}
 	if !list {
@@ -555,7 +555,7 @@
 	if err := jx.DecodeBytes(b).Obj(func(d *jx.Decoder, k string) error {
 		switch k {
 		case "stamp":
-			return at(k, readStamp(d, &p.Stamp))
+			return at(k, readVersion(d, &p.Version))
 		case "upserts":
 			return at(k, d.Obj(func(d *jx.Decoder, k string) (err error) {
 				if k != "resourceList" {
@@ -581,7 +581,7 @@
 	}); err != nil {
 		return Patch{}, Error.Wrap(err)
 	}
-	if p.Stamp == 0 {
+	if p.Version == 0 {
 		return Patch{}, Error.New("stamp is missing or 0")
 	}
 	return p, nil
@@ -598,7 +598,7 @@
 	for i, it := range p.Upserts {
 		up[it.Variant+"\x00"+it.Name] = i
 	}
-	out := Doc{Stamp: p.Stamp}
+	out := Doc{Version: p.Version}
 	for _, it := range c.Items {
 		k := it.Variant + "\x00" + it.Name
 		if i, ok := up[k]; ok {
@@ -660,7 +660,7 @@
 	var e jx.Encoder
 	e.ObjStart()
 	e.FieldStart("stamp")
-	e.Str(FormatStamp(c.Stamp))
+	e.Str(FormatVersion(c.Version))
 	e.FieldStart("resourceList")
 	e.ArrStart()
 	for _, it := range c.Items {
--- a/internal/dialplan/table.go
+++ b/internal/dialplan/table.go
@@ -18,7 +18,7 @@
 
 // Table is compiled once and never changed afterwards.
 type Table struct {
-	Stamp    uint64
+	Version  uint64
 	Services []Service
 	Limits   Limits
 	Routes   int
@@ -27,7 +27,7 @@
 }
 
 func Compile(c Doc) *Table {
-	t := &Table{Stamp: c.Stamp, Limits: DefaultLimits(), index: map[string]int{}, hosts: map[string]map[string]*Route{}}
+	t := &Table{Version: c.Version, Limits: DefaultLimits(), index: map[string]int{}, hosts: map[string]map[string]*Route{}}
 	for _, it := range c.Items {
 		switch it.Variant {
 		case varService:
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -219,7 +219,7 @@
 		case "address":
 			return text(&e.Addr)
 		case "siteName":
-			return text(&e.Site)
+			return text(&e.Zone)
 		case "stamp":
 			return text(&e.Release)
 		case "state":
--- a/internal/erlang/erlang.go
+++ b/internal/erlang/erlang.go
@@ -21,7 +21,7 @@
 
 type Origin struct {
 	Node  string
-	Site  string
+	Zone  string
 	Far   float64
 	Heavy float64
 	Flows []*trunk.Flow
@@ -300,9 +300,9 @@
 	now := 0.0
 	var ps []*switchboard.Pools
 	for _, x := range os {
-		p := switchboard.NewPools(x.Site, x.Far, x.Heavy).Beside(x.Node)
+		p := switchboard.NewPools(x.Zone, x.Far, x.Heavy).Beside(x.Node)
 		p.Draw(rng.Float64, func() int64 { return int64(now * 1e9) })
-		p.Set(&trunk.View{Stamp: 1, Endpoints: es})
+		p.Set(&trunk.View{Version: 1, Endpoints: es})
 		ps = append(ps, p)
 	}
 	at := map[string]*place{}
--- a/internal/erlang/erlang_test.go
+++ b/internal/erlang/erlang_test.go
@@ -29,13 +29,13 @@
 		perS, ms      float64
 	}
 	ks := []kind{{"browse", "pure", 30, 60}, {"pay", "effectful", 12, 110}}
-	sites := []string{"a", "b", "c", "a"}
+	zones := []string{"a", "b", "c", "a"}
 	now := int64(0)
 	var ps []*switchboard.Pools
-	for _, s := range sites {
+	for _, s := range zones {
 		p := switchboard.NewPools(s, 1.3, 2.5)
 		p.Draw(rng.Float64, func() int64 { return now })
-		p.Set(&trunk.View{Stamp: 1, Endpoints: es})
+		p.Set(&trunk.View{Version: 1, Endpoints: es})
 		ps = append(ps, p)
 	}
 	run, queue, work := map[string][]*req{}, map[string][]*req{}, map[string]float64{}
@@ -48,7 +48,7 @@
 	took := map[string]float64{}
 	for t := 0; t < span; t++ {
 		now = int64(t) * int64(time.Millisecond)
-		for o := range sites {
+		for o := range zones {
 			for b, k := range ks {
 				if rng.Float64() > k.perS*(1+0.3*math.Sin(float64(t)/900))/1000 {
 					continue
@@ -84,8 +84,8 @@
 		}
 	}
 	var out []Origin
-	for o, s := range sites {
-		x := Origin{Node: fmt.Sprint("n", o), Site: s, Far: 1.3, Heavy: 2.5}
+	for o, s := range zones {
+		x := Origin{Node: fmt.Sprint("n", o), Zone: s, Far: 1.3, Heavy: 2.5}
 		for b, k := range ks {
 			for id := range slots {
 				q := fmt.Sprint(o, " ", b, " ", id)
@@ -103,7 +103,7 @@
 func four() ([]*trunk.Endpoint, map[string]float64) {
 	var es []*trunk.Endpoint
 	for i, s := range []string{"a", "b", "c", "b"} {
-		es = append(es, &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", Site: s, Slots: 8, State: "up", Node: fmt.Sprint("n", i), Inbound: "x"})
+		es = append(es, &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", Zone: s, Slots: 8, State: "up", Node: fmt.Sprint("n", i), Inbound: "x"})
 	}
 	return es, map[string]float64{"e0": 0.7, "e1": 1, "e2": 1.4, "e3": 1, "e4": 1}
 }
@@ -125,7 +125,7 @@
 func TestEstimateOfAnAdditionMatchesWhatMoved(t *testing.T) {
 	es, sp := four()
 	before := live(es, sp, 3, 60000)
-	add := &trunk.Endpoint{Id: "e4", Service: "s", Site: "c", Slots: 8, State: "up", Node: "n4", Inbound: "x"}
+	add := &trunk.Endpoint{Id: "e4", Service: "s", Zone: "c", Slots: 8, State: "up", Node: "n4", Inbound: "x"}
 	e, err := Run(before, es, Change{Add: add}, Options{Span: 120 * time.Second})
 	qt.Assert(t, err, qt.IsNil)
 	vs := Check(e, live(append(append([]*trunk.Endpoint{}, es...), add), sp, 4, 60000))
@@ -140,7 +140,7 @@
 func TestNothingMovesWhereNothingChanges(t *testing.T) {
 	es, sp := four()
 	before := live(es, sp, 5, 30000)
-	idle := &trunk.Endpoint{Id: "z", Service: "other", Site: "a", Slots: 1, State: "up", Node: "n9"}
+	idle := &trunk.Endpoint{Id: "z", Service: "other", Zone: "a", Slots: 1, State: "up", Node: "n9"}
 	e, err := Run(before, append(es, idle), Change{Retire: "z"}, Options{Span: 120 * time.Second})
 	qt.Assert(t, err, qt.IsNil)
 	for _, s := range e.Sums {
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -32,7 +32,7 @@
 // Wire carries calls to other members. Each callback runs on the board's
 // goroutine; a nil answer means that no answer came.
 type Wire interface {
-	Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp))
+	Lease(to *trunk.Member, q *trunk.LeaseReq, cb func(*trunk.LeaseResp))
 	Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp))
 	Ask(to *trunk.Member, q *trunk.AskReq, cb func(*trunk.AskResp))
 	Hand(to *trunk.Member, q *trunk.HandReq, cb func(*trunk.HandResp))
@@ -48,24 +48,24 @@
 }
 
 type Options struct {
-	Me        *trunk.Member
-	Seeds     []*trunk.Member
-	First     bool
-	Shards    int
-	Hold      time.Duration
-	Beat      time.Duration
-	CallWait  time.Duration
-	Unreached time.Duration
-	LogBytes  int
-	NewTable  func() Table
-	NewID     func() string
-	Now       func() time.Duration
-	Rand      func(n int) int
-	Note      func(f string, a ...any)
-	OnOwner   func(shard int, own bool, epoch uint64)
-	OnCommit  func(shard int)
-	OnRoll    func(*trunk.Roll)
-	OnStep    func(step string, shard int, epoch, stamp uint64, c *trunk.Change)
+	Me           *trunk.Member
+	Seeds        []*trunk.Member
+	First        bool
+	Shards       int
+	Lease        time.Duration
+	Beat         time.Duration
+	CallWait     time.Duration
+	Unreached    time.Duration
+	LogBytes     int
+	NewTable     func() Table
+	NewID        func() string
+	Now          func() time.Duration
+	Rand         func(n int) int
+	Note         func(f string, a ...any)
+	OnOwner      func(shard int, own bool, epoch uint64)
+	OnCommit     func(shard int)
+	OnMembership func(*trunk.Membership)
+	OnStep       func(step string, shard int, epoch, version uint64, c *trunk.Change)
 }
 
 type role int
@@ -78,24 +78,24 @@
 )
 
 type wait struct {
-	stamp uint64
-	epoch uint64
-	chg   bool
-	until time.Duration
-	cb    func(error)
+	version uint64
+	epoch   uint64
+	chg     bool
+	until   time.Duration
+	cb      func(error)
 }
 
 type shard struct {
-	ix     int
-	table  Table
-	epoch  uint64
-	stamp  uint64
-	synced uint64
-
-	promised   uint64
-	promisedBy string
-	heldUntil  time.Duration
-	// log holds the last entries that led to stamp, past where earlier epochs
+	ix      int
+	table   Table
+	epoch   uint64
+	version uint64
+	synced  uint64
+
+	promised    uint64
+	promisedBy  string
+	leasedUntil time.Duration
+	// log holds the last entries that led to version, past where earlier epochs
 	// ended in it.
 	log  []*trunk.Entry
 	size int
@@ -136,8 +136,8 @@
 	retryAt    time.Duration
 }
 
-// span tells that an epoch's part of a log ends at a stamp.
-type span struct{ epoch, stamp uint64 }
+// span tells that an epoch's part of a log ends at a version.
+type span struct{ epoch, version uint64 }
 
 // peer is what is known of another member, or of a learner.
 type peer struct {
@@ -170,13 +170,13 @@
 }
 
 type Board struct {
-	o      Options
-	wire   Wire
-	book   Book
-	me     *trunk.Member
-	roll   *trunk.Roll
-	shards []*shard
-	peers  map[string]*peer
+	o          Options
+	wire       Wire
+	book       Book
+	me         *trunk.Member
+	membership *trunk.Membership
+	shards     []*shard
+	peers      map[string]*peer
 	// line are the peers in the order of the membership, learners those that
 	// are to become members, in the order in which they came.
 	line     []*peer
@@ -193,14 +193,14 @@
 	leaving  bool
 	started  time.Duration
 
-	lastHold time.Duration
+	lastBeat time.Duration
 	ticked   time.Duration
 	starved  time.Duration
 	// alone is when this member last reached no majority.
 	alone time.Duration
 
 	enrolled map[string]bool
-	prior    *trunk.Roll
+	prior    *trunk.Membership
 	joinAt   time.Duration
 	gone     bool
 	urgent   bool
@@ -236,27 +236,27 @@
 		}
 		if founder {
 			b.me.Id = "founder-" + o.Me.Addr
-			r := &trunk.Roll{Stamp: 1, Size: uint32(len(o.Seeds))}
+			r := &trunk.Membership{Version: 1, Size: uint32(len(o.Seeds))}
 			for _, s := range o.Seeds {
 				m := proto.Clone(s).(*trunk.Member)
 				m.Id = "founder-" + s.Addr
 				r.Members = append(r.Members, m)
 			}
-			b.roll = r
+			b.membership = r
 		} else {
 			b.me.Id = o.NewID()
 			b.blank = true
 		}
-	} else if b.roll == nil || !inRoll(b.roll, b.me.Id) {
+	} else if b.membership == nil || !inMembership(b.membership, b.me.Id) {
 		b.blank = true
 	}
-	if b.roll == nil {
-		b.roll = &trunk.Roll{}
+	if b.membership == nil {
+		b.membership = &trunk.Membership{}
 	}
 	for _, s := range b.shards {
 		s.fresh = -1 << 40
 		if s.promisedBy != "" && s.promisedBy != b.me.Id {
-			s.heldUntil = now + o.Hold
+			s.leasedUntil = now + o.Lease
 		}
 	}
 	b.setPeers()
@@ -268,10 +268,10 @@
 	if id := r.GetIdentity(); id != nil {
 		b.me.Id = id.Id
 	}
-	if x := r.GetRoll(); x != nil && (b.roll == nil || x.Stamp > b.roll.Stamp) {
-		b.roll = x
+	if x := r.GetMembership(); x != nil && (b.membership == nil || x.Version > b.membership.Version) {
+		b.membership = x
 	}
-	if p := r.GetPledge(); p != nil && int(p.Shard) < len(b.shards) {
+	if p := r.GetPromise(); p != nil && int(p.Shard) < len(b.shards) {
 		s := b.shards[p.Shard]
 		if p.Epoch >= s.promised {
 			s.promised, s.promisedBy = p.Epoch, p.By
@@ -279,24 +279,24 @@
 	}
 	if st := r.GetState(); st != nil && int(st.Shard) < len(b.shards) {
 		s := b.shards[st.Shard]
-		s.epoch, s.stamp = st.Epoch, st.Stamp
+		s.epoch, s.version = st.Epoch, st.Version
 		s.table.Load(st, now, true)
 		s.forget()
 	}
 	if x := r.GetRaise(); x != nil && int(x.Shard) < len(b.shards) {
-		if s := b.shards[x.Shard]; s.epoch == x.FromEpoch && s.stamp == x.FromStamp {
+		if s := b.shards[x.Shard]; s.epoch == x.FromEpoch && s.version == x.FromVersion {
 			s.raise(x, now)
 		}
 	}
 	if e := r.GetEntry(); e != nil && int(e.Shard) < len(b.shards) {
 		s := b.shards[e.Shard]
-		if e.Epoch == s.epoch && e.Stamp == s.stamp+1 {
+		if e.Epoch == s.epoch && e.Version == s.version+1 {
 			s.take(e, now)
 		}
 	}
 }
 
-func inRoll(r *trunk.Roll, id string) bool {
+func inMembership(r *trunk.Membership, id string) bool {
 	for _, m := range r.GetMembers() {
 		if m.Id == id {
 			return true
@@ -313,18 +313,18 @@
 	}
 }
 
-func (b *Board) step(step string, s *shard, epoch, stamp uint64, c *trunk.Change) {
+func (b *Board) step(step string, s *shard, epoch, version uint64, c *trunk.Change) {
 	if b.o.OnStep != nil {
-		b.o.OnStep(step, s.ix, epoch, stamp, c)
+		b.o.OnStep(step, s.ix, epoch, version, c)
 	}
 }
 
-func (b *Board) majority() int { return len(b.roll.Members)/2 + 1 }
+func (b *Board) majority() int { return len(b.membership.Members)/2 + 1 }
 
-func (b *Board) member() bool { return !b.blank && inRoll(b.roll, b.me.Id) }
+func (b *Board) member() bool { return !b.blank && inMembership(b.membership, b.me.Id) }
 
 func (b *Board) index(id string) int {
-	for i, m := range b.roll.Members {
+	for i, m := range b.membership.Members {
 		if m.Id == id {
 			return i
 		}
@@ -335,7 +335,7 @@
 func (b *Board) setPeers() {
 	n := map[string]*peer{}
 	b.line = nil
-	for _, m := range b.roll.Members {
+	for _, m := range b.membership.Members {
 		if m.Id == b.me.Id {
 			continue
 		}
@@ -383,7 +383,7 @@
 		return true
 	}
 	p := b.peers[id]
-	return p != nil && p.ever && b.now()-p.heard < b.o.Hold
+	return p != nil && p.ever && b.now()-p.heard < b.o.Lease
 }
 
 func (b *Board) ready(id string) bool {
@@ -394,7 +394,7 @@
 }
 
 func (b *Board) head(p *peer) *trunk.Head {
-	return &trunk.Head{From: b.me, To: p.m.Id, Deaf: !p.ever || b.now()-p.heard >= b.o.Hold, Roll: b.roll.Stamp, Sound: b.ready(b.me.Id), Leaving: b.leaving}
+	return &trunk.Head{From: b.me, To: p.m.Id, Deaf: !p.ever || b.now()-p.heard >= b.o.Lease, Membership: b.membership.Version, Sound: b.ready(b.me.Id), Leaving: b.leaving}
 }
 
 // disk
@@ -428,7 +428,7 @@
 // then would bring the load that it suffers from to the next member, and so on.
 func (b *Board) stalled() bool {
 	now := b.now()
-	return len(b.outs) > 0 && now-b.outs[0] > b.o.Hold/2 && now-b.starved > b.o.Hold
+	return len(b.outs) > 0 && now-b.outs[0] > b.o.Lease/2 && now-b.starved > b.o.Lease
 }
 
 // turned notes a tick; one that comes late means that the processor was short.
@@ -450,14 +450,14 @@
 
 func (b *Board) page() [][]byte {
 	out := [][]byte{enc(&trunk.Record{Identity: &trunk.Identity{Id: b.me.Id}})}
-	if b.roll.Stamp > 0 {
-		out = append(out, enc(&trunk.Record{Roll: b.roll}))
+	if b.membership.Version > 0 {
+		out = append(out, enc(&trunk.Record{Membership: b.membership}))
 	}
 	for _, s := range b.shards {
 		st := b.dump(s)
 		out = append(out, enc(&trunk.Record{State: st}))
 		if s.promised > 0 {
-			out = append(out, enc(&trunk.Record{Pledge: &trunk.Pledge{Shard: uint32(s.ix), Epoch: s.promised, By: s.promisedBy}}))
+			out = append(out, enc(&trunk.Record{Promise: &trunk.Promise{Shard: uint32(s.ix), Epoch: s.promised, By: s.promisedBy}}))
 		}
 	}
 	return out
@@ -466,10 +466,10 @@
 func (b *Board) checkpoint() {
 	b.diskBusy = true
 	b.written = 0
-	type mark struct{ epoch, stamp uint64 }
+	type mark struct{ epoch, version uint64 }
 	var ms []mark
 	for _, s := range b.shards {
-		ms = append(ms, mark{s.epoch, s.stamp})
+		ms = append(ms, mark{s.epoch, s.version})
 	}
 	b.book.Checkpoint(b.page(), func(err error) {
 		b.diskBusy = false
@@ -484,7 +484,7 @@
 		b.diskBad = false
 		for i, s := range b.shards {
 			if s.epoch == ms[i].epoch {
-				s.synced = max(s.synced, ms[i].stamp)
+				s.synced = max(s.synced, ms[i].version)
 				b.advance(s)
 			}
 		}
@@ -493,7 +493,7 @@
 
 func (b *Board) dump(s *shard) *trunk.ShardState {
 	st := s.table.Dump(b.now())
-	st.Shard, st.Epoch, st.Stamp = uint32(s.ix), s.epoch, s.stamp
+	st.Shard, st.Epoch, st.Version = uint32(s.ix), s.epoch, s.version
 	return st
 }
 
@@ -501,11 +501,11 @@
 func (b *Board) install(s *shard, st *trunk.ShardState, epoch uint64, done func(error)) {
 	s.table.Load(st, b.now(), false)
 	s.forget()
-	s.past = []span{{st.Epoch, st.Stamp}}
-	s.epoch, s.stamp, s.synced = epoch, st.Stamp, 0
+	s.past = []span{{st.Epoch, st.Version}}
+	s.epoch, s.version, s.synced = epoch, st.Version, 0
 	rec := proto.Clone(st).(*trunk.ShardState)
 	rec.Shard, rec.Epoch = uint32(s.ix), epoch
-	at := st.Stamp
+	at := st.Version
 	b.save(&trunk.Record{State: rec}, func(err error) {
 		if err == nil && s.epoch == epoch {
 			s.synced = max(s.synced, at)
@@ -516,7 +516,7 @@
 
 func (b *Board) Sound() bool { return !b.diskBad }
 
-func (b *Board) Roll() *trunk.Roll { return b.roll }
+func (b *Board) Membership() *trunk.Membership { return b.membership }
 
 func (b *Board) Me() *trunk.Member { return b.me }
 
@@ -525,7 +525,7 @@
 func (b *Board) Blank() bool { return !b.member() }
 
 // Clean tells that all of the shard's content is committed.
-func (b *Board) Clean(i int) bool { return b.shards[i].commit >= b.shards[i].stamp }
+func (b *Board) Clean(i int) bool { return b.shards[i].commit >= b.shards[i].version }
 
 func (b *Board) Epoch(i int) uint64 { return b.shards[i].epoch }
 
@@ -535,7 +535,7 @@
 func (b *Board) Lines() []*trunk.ShardLine {
 	var out []*trunk.ShardLine
 	for _, s := range b.shards {
-		l := &trunk.ShardLine{Shard: uint32(s.ix), Epoch: s.epoch, Stamp: s.stamp}
+		l := &trunk.ShardLine{Shard: uint32(s.ix), Epoch: s.epoch, Version: s.version}
 		if m, ok := b.Owner(s.ix); ok {
 			l.Owner = m.Addr
 		}
@@ -551,10 +551,10 @@
 	l.Owned, l.Committed, l.LeaseMs = true, s.commit, int64(max(s.lease-b.now(), 0)/time.Millisecond)
 	whole := 1
 	for _, p := range b.others() {
-		c := &trunk.CopyLine{Addr: p.m.Addr, Learner: b.peers[p.m.Id] == nil, Reached: p.ever && b.now()-p.heard < b.o.Hold, Sound: p.sound, Leaving: p.leaving,
+		c := &trunk.CopyLine{Addr: p.m.Addr, Learner: b.peers[p.m.Id] == nil, Reached: p.ever && b.now()-p.heard < b.o.Lease, Sound: p.sound, Leaving: p.leaving,
 			Known: p.known[s.ix] == s.epoch}
-		if c.Behind = s.stamp; c.Known {
-			c.Behind = s.stamp - min(p.acked[s.ix], s.stamp)
+		if c.Behind = s.version; c.Known {
+			c.Behind = s.version - min(p.acked[s.ix], s.version)
 		}
 		if c.Reached && c.Known && p.acked[s.ix] >= s.commit && !c.Learner {
 			whole++
@@ -565,14 +565,14 @@
 }
 
 // Held tells, from any goroutine, whether this member serves shard 0 under a
-// hold right now.
-func (b *Board) Held() bool { return int64(b.now()) < b.held.Load() }
+// lease right now.
+func (b *Board) Leased() bool { return int64(b.now()) < b.held.Load() }
 
 // Follows tells whether this member's lease of the shard to the owner under that
 // epoch runs now.
 func (b *Board) Follows(i int, epoch uint64) bool {
 	s := b.shards[i]
-	return s.promised == epoch && b.now() < s.heldUntil
+	return s.promised == epoch && b.now() < s.leasedUntil
 }
 
 // Epoch0 is the epoch under which this member last served shard 0.
--- a/internal/exchange/log.go
+++ b/internal/exchange/log.go
@@ -17,7 +17,7 @@
 )
 
 func (s *shard) take(e *trunk.Entry, now time.Duration) {
-	s.stamp = e.Stamp
+	s.version = e.Version
 	s.table.Apply(e.Change, now)
 	s.log = append(s.log, e)
 	if s.size += proto.Size(e); len(s.log) > logMost || s.size > logBytes {
@@ -42,7 +42,7 @@
 // raise takes the copy on to the epoch of x, whose entries bring it to what
 // that epoch began with.
 func (s *shard) raise(x *trunk.Raise, now time.Duration) {
-	s.past = append(s.past, span{s.epoch, s.stamp})
+	s.past = append(s.past, span{s.epoch, s.version})
 	if n := len(s.past); n > pastMost {
 		s.past = append([]span(nil), s.past[n-pastMost:]...)
 	}
@@ -57,12 +57,12 @@
 // it. One epoch has one log, so a copy at an epoch that is part of this one's
 // past, no further than it went here, is a beginning.
 func (s *shard) after(h span) ([]*trunk.Entry, bool) {
-	ok := h.epoch == s.epoch && h.stamp <= s.stamp
+	ok := h.epoch == s.epoch && h.version <= s.version
 	for _, p := range s.past {
-		ok = ok || p.epoch == h.epoch && h.stamp <= p.stamp
+		ok = ok || p.epoch == h.epoch && h.version <= p.version
 	}
-	n := s.stamp - h.stamp
-	if !ok || h.stamp > s.stamp || n > uint64(len(s.log)) {
+	n := s.version - h.version
+	if !ok || h.version > s.version || n > uint64(len(s.log)) {
 		return nil, false
 	}
 	return s.log[uint64(len(s.log))-n:], true
@@ -76,12 +76,12 @@
 	if !ok {
 		return nil
 	}
-	x := &trunk.Raise{Shard: uint32(s.ix), Epoch: s.epoch, FromEpoch: h.epoch, FromStamp: h.stamp}
+	x := &trunk.Raise{Shard: uint32(s.ix), Epoch: s.epoch, FromEpoch: h.epoch, FromVersion: h.version}
 	for _, e := range es {
-		if e.Stamp > s.begin {
+		if e.Version > s.begin {
 			break
 		}
-		x.Entries = append(x.Entries, &trunk.Entry{Shard: e.Shard, Epoch: s.epoch, Stamp: e.Stamp, Change: e.Change})
+		x.Entries = append(x.Entries, &trunk.Entry{Shard: e.Shard, Epoch: s.epoch, Version: e.Version, Change: e.Change})
 	}
 	return x
 }
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -98,8 +98,8 @@
 	}()
 }
 
-func (n Net) Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp)) {
-	send(n, n.Short, n.Lines.Exchange(to.Addr).Hold, q, cb)
+func (n Net) Lease(to *trunk.Member, q *trunk.LeaseReq, cb func(*trunk.LeaseResp)) {
+	send(n, n.Short, n.Lines.Exchange(to.Addr).Lease, q, cb)
 }
 
 func (n Net) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
@@ -152,12 +152,12 @@
 
 var errHead = Error.New("a call without a sender")
 
-func (d Door) Hold(_ context.Context, q *trunk.HoldReq) (*trunk.HoldResp, error) {
+func (d Door) Lease(_ context.Context, q *trunk.LeaseReq) (*trunk.LeaseResp, error) {
 	if !whole(q.Head) {
 		return nil, errHead
 	}
 	q.Marks = fit(d, q.Marks)
-	return answer(Ask(d.Loop, func() *trunk.HoldResp { return d.Board.OnHold(q) }))
+	return answer(Ask(d.Loop, func() *trunk.LeaseResp { return d.Board.OnLease(q) }))
 }
 
 func (d Door) Copy(ctx context.Context, q *trunk.CopyReq) (*trunk.CopyResp, error) {
@@ -185,7 +185,7 @@
 }
 
 func (d Door) Enroll(ctx context.Context, q *trunk.EnrollReq) (*trunk.EnrollResp, error) {
-	if len(q.GetRoll().GetMembers()) == 0 {
+	if len(q.GetMembership().GetMembers()) == 0 {
 		return nil, errHead
 	}
 	return answer(Later(ctx, d.Loop, func(f func(*trunk.EnrollResp)) { d.Board.OnEnroll(q, f) }))
--- a/internal/exchange/members.go
+++ b/internal/exchange/members.go
@@ -9,7 +9,7 @@
 	"corkcove/internal/trunk"
 )
 
-const rollBlob = "roll"
+const membershipBlob = "roll"
 
 // How long a learner counts as there after its last word, how often it speaks,
 // and how new its copies must be.
@@ -19,12 +19,12 @@
 	learnerFresh = 1200 * time.Millisecond
 )
 
-// A roll is decided as a change of shard 0 and then enrolled: it is in force
-// once majorities of the old roll and of the new one have synced it.
+// A membership is decided as a change of shard 0 and then enrolled: it is in force
+// once majorities of the old membership and of the new one have synced it.
 
-func (b *Board) sawRoll(m *trunk.Member, stamp uint64) {
-	if stamp < b.roll.Stamp && m != nil && b.roll.Stamp > 1 {
-		b.wire.Enroll(m, &trunk.EnrollReq{Roll: b.roll, From: b.me}, func(r *trunk.EnrollResp) { b.enrolledBy(m.Id, r) })
+func (b *Board) sawMembership(m *trunk.Member, version uint64) {
+	if version < b.membership.Version && m != nil && b.membership.Version > 1 {
+		b.wire.Enroll(m, &trunk.EnrollReq{Membership: b.membership, From: b.me}, func(r *trunk.EnrollResp) { b.enrolledBy(m.Id, r) })
 	}
 }
 
@@ -33,30 +33,30 @@
 		reply(nil)
 		return
 	}
-	if q.Roll.Stamp <= b.roll.Stamp {
-		st := b.roll.Stamp
+	if q.Membership.Version <= b.membership.Version {
+		st := b.membership.Version
 		b.book.Append(nil, func(err error) {
 			if err != nil {
 				reply(nil)
 				return
 			}
-			reply(&trunk.EnrollResp{Stamp: st, Ok: true})
+			reply(&trunk.EnrollResp{Version: st, Ok: true})
 		})
 		return
 	}
-	b.adopt(q.Roll, func(err error) {
+	b.adopt(q.Membership, func(err error) {
 		if err != nil {
 			reply(nil)
 			return
 		}
-		reply(&trunk.EnrollResp{Stamp: q.Roll.Stamp, Ok: true})
+		reply(&trunk.EnrollResp{Version: q.Membership.Version, Ok: true})
 	})
 }
 
-func (b *Board) adopt(r *trunk.Roll, done func(error)) {
-	b.note("roll %d with %d members", r.Stamp, len(r.Members))
-	b.roll = proto.Clone(r).(*trunk.Roll)
-	if !inRoll(b.roll, b.me.Id) {
+func (b *Board) adopt(r *trunk.Membership, done func(error)) {
+	b.note("membership %d with %d members", r.Version, len(r.Members))
+	b.membership = proto.Clone(r).(*trunk.Membership)
+	if !inMembership(b.membership, b.me.Id) {
 		if !b.blank {
 			b.blank = true
 			for _, s := range b.shards {
@@ -80,22 +80,22 @@
 			b.depose(s, s.asked, "the roll changed")
 			s.retryAt = b.now() + b.o.Beat
 		case owner, handing:
-			s.base = s.stamp
+			s.base = s.version
 			s.settled = 0
 			b.advance(s)
 		}
 	}
-	b.save(&trunk.Record{Roll: b.roll}, done)
+	b.save(&trunk.Record{Membership: b.membership}, done)
 	for _, p := range b.line {
 		b.push(p)
 	}
-	if b.o.OnRoll != nil {
-		b.o.OnRoll(b.roll)
+	if b.o.OnMembership != nil {
+		b.o.OnMembership(b.membership)
 	}
 }
 
 func (b *Board) enrolledBy(id string, r *trunk.EnrollResp) {
-	if r == nil || !r.Ok || b.enrolled == nil || r.Stamp != b.roll.Stamp {
+	if r == nil || !r.Ok || b.enrolled == nil || r.Version != b.membership.Version {
 		return
 	}
 	b.enrolled[id] = true
@@ -105,7 +105,7 @@
 	if b.prior == nil {
 		return true
 	}
-	for _, r := range []*trunk.Roll{b.prior, b.roll} {
+	for _, r := range []*trunk.Membership{b.prior, b.membership} {
 		n := 0
 		for _, m := range r.Members {
 			if b.enrolled[m.Id] {
@@ -119,19 +119,19 @@
 	return true
 }
 
-// manage is the work of shard 0's owner on the roll: finish a change that was
+// manage is the work of shard 0's owner on the membership: finish a change that was
 // decided, then decide the next.
 func (b *Board) manage() {
 	s := b.shards[0]
-	if s.role != owner || !s.serving || b.now() >= s.lease || s.commit < s.stamp {
+	if s.role != owner || !s.serving || b.now() >= s.lease || s.commit < s.version {
 		return
 	}
-	if x := s.table.Blob(rollBlob); x != nil && x.Stamp > b.roll.Stamp {
-		var r trunk.Roll
+	if x := s.table.Blob(membershipBlob); x != nil && x.Version > b.membership.Version {
+		var r trunk.Membership
 		if proto.Unmarshal(x.Data, &r) == nil {
-			b.prior, b.enrolled = b.roll, map[string]bool{}
+			b.prior, b.enrolled = b.membership, map[string]bool{}
 			b.adopt(&r, func(err error) {
-				if err == nil && b.enrolled != nil && b.roll.Stamp == r.Stamp {
+				if err == nil && b.enrolled != nil && b.membership.Version == r.Version {
 					b.enrolled[b.me.Id] = true
 				}
 			})
@@ -139,9 +139,9 @@
 		}
 		return
 	}
-	if b.prior == nil && b.enrolled == nil && b.roll.Stamp > 1 {
-		b.prior, b.enrolled = b.roll, map[string]bool{}
-		b.save(&trunk.Record{Roll: b.roll}, func(err error) {
+	if b.prior == nil && b.enrolled == nil && b.membership.Version > 1 {
+		b.prior, b.enrolled = b.membership, map[string]bool{}
+		b.save(&trunk.Record{Membership: b.membership}, func(err error) {
 			if err == nil && b.enrolled != nil {
 				b.enrolled[b.me.Id] = true
 			}
@@ -160,14 +160,14 @@
 
 func (b *Board) spread() {
 	seen := map[string]bool{b.me.Id: true}
-	for _, r := range []*trunk.Roll{b.prior, b.roll} {
+	for _, r := range []*trunk.Membership{b.prior, b.membership} {
 		for _, m := range r.GetMembers() {
 			if seen[m.Id] || b.enrolled[m.Id] {
 				continue
 			}
 			seen[m.Id] = true
 			m := m
-			b.wire.Enroll(m, &trunk.EnrollReq{Roll: b.roll, From: b.me}, func(r *trunk.EnrollResp) { b.enrolledBy(m.Id, r) })
+			b.wire.Enroll(m, &trunk.EnrollReq{Membership: b.membership, From: b.me}, func(r *trunk.EnrollResp) { b.enrolledBy(m.Id, r) })
 		}
 	}
 }
@@ -177,9 +177,9 @@
 // odd number of members the majority of the rest is then smaller. One that is
 // about to leave goes after its successor has come.
 func (b *Board) decide() {
-	n, size := len(b.roll.Members), b.places()
+	n, size := len(b.membership.Members), b.places()
 	for _, j := range b.learners {
-		for _, m := range b.roll.Members {
+		for _, m := range b.membership.Members {
 			if m.Addr == j.m.Addr && m.Id != b.me.Id {
 				b.drop(m, "its address has another id")
 				return
@@ -195,7 +195,7 @@
 		return
 	}
 	for _, j := range b.learners {
-		if j.caught != b.roll.Stamp {
+		if j.caught != b.membership.Version {
 			continue
 		}
 		switch {
@@ -216,9 +216,9 @@
 
 // places is how many members there are to be.
 func (b *Board) places() int {
-	n := max(len(b.o.Seeds), int(b.roll.Size))
+	n := max(len(b.o.Seeds), int(b.membership.Size))
 	if x := b.shards[0].table.Blob("places"); x != nil {
-		n = max(n, int(x.Stamp))
+		n = max(n, int(x.Version))
 	}
 	return n
 }
@@ -253,12 +253,12 @@
 // drop takes a member out. Its place in the order is kept for the next to come,
 // or taken by the one that has come already, so that shards need not move.
 func (b *Board) drop(gone *trunk.Member, why string) {
-	r := &trunk.Roll{Stamp: b.roll.Stamp + 1, Size: uint32(b.places()), Gaps: slices.Clone(b.roll.Gaps)}
-	i, last := b.index(gone.Id), len(b.roll.Members)-1
+	r := &trunk.Membership{Version: b.membership.Version + 1, Size: uint32(b.places()), Gaps: slices.Clone(b.membership.Gaps)}
+	i, last := b.index(gone.Id), len(b.membership.Members)-1
 	if last == 0 {
 		return
 	}
-	r.Members = slices.Clone(b.roll.Members)
+	r.Members = slices.Clone(b.membership.Members)
 	if last >= int(r.Size) {
 		r.Members[i] = r.Members[last]
 		r.Members = r.Members[:last]
@@ -266,34 +266,34 @@
 		r.Members = slices.Delete(r.Members, i, i+1)
 		r.Gaps = append(r.Gaps, uint32(i))
 	}
-	b.note("deciding roll %d: %s is out (%s)", r.Stamp, gone.Addr, why)
+	b.note("deciding membership %d: %s is out (%s)", r.Version, gone.Addr, why)
 	b.agree(r)
 }
 
 func (b *Board) admit(j *peer, size int) {
-	r := &trunk.Roll{Stamp: b.roll.Stamp + 1, Size: uint32(size), Gaps: slices.Clone(b.roll.Gaps)}
-	at := len(b.roll.Members)
+	r := &trunk.Membership{Version: b.membership.Version + 1, Size: uint32(size), Gaps: slices.Clone(b.membership.Gaps)}
+	at := len(b.membership.Members)
 	if n := len(r.Gaps); n > 0 {
 		at = min(at, int(r.Gaps[n-1]))
 		r.Gaps = r.Gaps[:n-1]
 	}
-	r.Members = slices.Insert(slices.Clone(b.roll.Members), at, j.m)
-	b.note("deciding roll %d: %s joins", r.Stamp, j.m.Addr)
+	r.Members = slices.Insert(slices.Clone(b.membership.Members), at, j.m)
+	b.note("deciding membership %d: %s joins", r.Version, j.m.Addr)
 	b.agree(r)
 }
 
-func (b *Board) agree(r *trunk.Roll) {
+func (b *Board) agree(r *trunk.Membership) {
 	x, err := proto.Marshal(r)
 	if err != nil {
 		panic(err)
 	}
-	b.propose(b.shards[0], &trunk.Change{Blob: &trunk.Blob{Name: rollBlob, Data: x, Stamp: r.Stamp}})
+	b.propose(b.shards[0], &trunk.Change{Blob: &trunk.Blob{Name: membershipBlob, Data: x, Version: r.Version}})
 }
 
 // settled tells that every shard's content is with a majority of this membership.
 func (b *Board) settled() bool {
 	for i := range b.shards {
-		if b.settles[i] < b.roll.Stamp {
+		if b.settles[i] < b.membership.Version {
 			return false
 		}
 	}
@@ -303,7 +303,7 @@
 // OnJoin takes a learner's word: who owns a shard sends it copies from now on,
 // and the master gives it a place when there is one.
 func (b *Board) OnJoin(q *trunk.JoinReq) *trunk.JoinResp {
-	r := &trunk.JoinResp{Ok: inRoll(b.roll, q.From.Id), Roll: b.roll}
+	r := &trunk.JoinResp{Ok: inMembership(b.membership, q.From.Id), Membership: b.membership}
 	if _, own := b.Own(0); own {
 		r.Settled = b.enrolledAll() && b.settled()
 	}
@@ -334,10 +334,10 @@
 	b.joinAt = now + learnerSays
 	q := &trunk.JoinReq{From: b.me, First: b.first, Leaving: b.leaving}
 	if b.caughtUp() {
-		q.Caught = b.roll.Stamp
+		q.Caught = b.membership.Version
 	}
 	seen := map[string]bool{b.me.Addr: true}
-	for _, m := range append(slices.Clone(b.roll.Members), b.o.Seeds...) {
+	for _, m := range append(slices.Clone(b.membership.Members), b.o.Seeds...) {
 		if seen[m.Addr] {
 			continue
 		}
@@ -350,11 +350,11 @@
 	if r == nil || !b.blank {
 		return
 	}
-	if b.leaving && r.Settled && r.Roll.GetStamp() == b.roll.Stamp {
+	if b.leaving && r.Settled && r.Membership.GetVersion() == b.membership.Version {
 		b.gone = true
 	}
-	if r.Roll.GetStamp() > b.roll.Stamp {
-		b.adopt(r.Roll, func(error) {})
+	if r.Membership.GetVersion() > b.membership.Version {
+		b.adopt(r.Membership, func(error) {})
 	}
 }
 
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -11,7 +11,7 @@
 )
 
 // Do runs f on the shard if this member owns it, and calls cb when what f saw
-// and did is safe: committed by a majority, and read under the hold.
+// and did is safe: committed by a majority, and read under the lease.
 func (b *Board) Do(i int, f func(t Table, now time.Duration) *trunk.Change, cb func(error)) {
 	s := b.shards[i]
 	now := b.now()
@@ -29,16 +29,16 @@
 		b.propose(s, c)
 		w.chg = true
 	}
-	w.stamp = s.stamp
+	w.version = s.version
 	s.waits = append(s.waits, w)
 	b.release(s)
 }
 
 func (b *Board) propose(s *shard, c *trunk.Change) {
-	e := &trunk.Entry{Shard: uint32(s.ix), Epoch: s.epoch, Stamp: s.stamp + 1, Change: c}
+	e := &trunk.Entry{Shard: uint32(s.ix), Epoch: s.epoch, Version: s.version + 1, Change: c}
 	s.take(e, b.now())
-	b.step("proposed", s, e.Epoch, e.Stamp, c)
-	ep, at := s.epoch, s.stamp
+	b.step("proposed", s, e.Epoch, e.Version, c)
+	ep, at := s.epoch, s.version
 	b.save(&trunk.Record{Entry: e}, func(err error) {
 		if err == nil && s.epoch == ep && s.synced+1 >= at {
 			s.synced = max(s.synced, at)
@@ -46,7 +46,7 @@
 			b.advance(s)
 		}
 	})
-	if s.commit+1 >= s.stamp {
+	if s.commit+1 >= s.version {
 		s.pending = b.now()
 	}
 	for _, p := range b.near {
@@ -63,7 +63,7 @@
 			w.fail()
 			continue
 		}
-		if s.commit >= w.stamp && (w.chg || now < s.lease) {
+		if s.commit >= w.version && (w.chg || now < s.lease) {
 			s.waits = s.waits[1:]
 			w.cb(nil)
 			continue
@@ -90,7 +90,7 @@
 		return
 	}
 	var at []uint64
-	for _, m := range b.roll.Members {
+	for _, m := range b.membership.Members {
 		if m.Id == b.me.Id {
 			at = append(at, s.synced)
 		} else if p := b.peers[m.Id]; p != nil && p.known[s.ix] == s.epoch {
@@ -106,14 +106,14 @@
 	}
 	if !s.serving {
 		s.serving = true
-		b.note("shard %d: serving at epoch %d from stamp %d", s.ix, s.epoch, s.base)
+		b.note("shard %d: serving at epoch %d from version %d", s.ix, s.epoch, s.base)
 		b.relet(s)
 		if b.o.OnOwner != nil {
 			b.o.OnOwner(s.ix, true, s.epoch)
 		}
 	}
-	if s.settled != b.roll.Stamp {
-		s.settled = b.roll.Stamp
+	if s.settled != b.membership.Version {
+		s.settled = b.membership.Version
 		b.settles[s.ix] = max(b.settles[s.ix], s.settled)
 		b.urgent = true
 	}
@@ -133,7 +133,7 @@
 // relet works out until when a majority lets this member own the shard.
 func (b *Board) relet(s *shard) {
 	var at []time.Duration
-	for _, m := range b.roll.Members {
+	for _, m := range b.membership.Members {
 		if m.Id == b.me.Id {
 			at = append(at, b.now())
 		} else if p := b.peers[m.Id]; p != nil {
@@ -144,7 +144,7 @@
 	if len(at) < b.majority() {
 		return
 	}
-	s.lease = max(s.lease, at[b.majority()-1]+b.o.Hold*9/10)
+	s.lease = max(s.lease, at[b.majority()-1]+b.o.Lease*9/10)
 	if s.ix == 0 && s.serving {
 		b.held.Store(int64(s.lease))
 		b.epoch.Store(s.epoch)
@@ -158,7 +158,7 @@
 	now := b.now()
 	late := false
 	for _, s := range b.shards {
-		late = late || (s.role == owner || s.role == handing) && (s.role == handing || !s.serving || s.commit < s.stamp && now-s.pending > b.o.Hold/20)
+		late = late || (s.role == owner || s.role == handing) && (s.role == handing || !s.serving || s.commit < s.version && now-s.pending > b.o.Lease/20)
 	}
 	for _, p := range b.others() {
 		if late || now-p.pushed >= b.o.Beat {
@@ -169,7 +169,7 @@
 }
 
 // rank puts first the peers whose copies make a majority: sound ones, by
-// preference of this site.
+// preference of this zone.
 func (b *Board) rank() {
 	b.near = slices.Clone(b.line)
 	cost := func(p *peer) int {
@@ -177,10 +177,10 @@
 		if !b.ready(p.m.Id) {
 			n += 4
 		}
-		if p.copying && b.now()-p.pushed > b.o.Hold/20 {
+		if p.copying && b.now()-p.pushed > b.o.Lease/20 {
 			n += 2
 		}
-		if p.m.Site != b.me.Site {
+		if p.m.Zone != b.me.Zone {
 			n++
 		}
 		return n
@@ -259,9 +259,9 @@
 			p.nextAt = b.now() + 100*time.Millisecond
 			return
 		}
-		if !r.Member || r.Roll != b.roll.Stamp {
+		if !r.Member || r.Membership != b.membership.Version {
 			p.nextAt = b.now() + 100*time.Millisecond
-			b.sawRoll(p.m, r.Roll)
+			b.sawMembership(p.m, r.Membership)
 			return
 		}
 		b.met(p, r.Sound, p.leaving)
@@ -277,11 +277,11 @@
 			}
 			if a.Gap {
 				p.known[s.ix], p.acked[s.ix] = 0, 0
-				p.have[s.ix] = have{s.epoch, span{a.HaveEpoch, a.HaveStamp}}
+				p.have[s.ix] = have{s.epoch, span{a.HaveEpoch, a.HaveVersion}}
 				again = again || a.Promised == 0
 				continue
 			}
-			p.known[s.ix], p.acked[s.ix] = a.Epoch, a.Stamp
+			p.known[s.ix], p.acked[s.ix] = a.Epoch, a.Version
 			p.grants[s.ix] = max(p.grants[s.ix], at)
 			b.advance(s)
 			b.relet(s)
@@ -333,8 +333,8 @@
 	fin  func(error)
 }
 
-func (c *copied) ack(shard uint32, epoch, stamp uint64) *trunk.CopyAck {
-	a := &trunk.CopyAck{Shard: shard, Epoch: epoch, Stamp: stamp}
+func (c *copied) ack(shard uint32, epoch, version uint64) *trunk.CopyAck {
+	a := &trunk.CopyAck{Shard: shard, Epoch: epoch, Version: version}
 	c.acks = append(c.acks, a)
 	c.by[shard] = a
 	return a
@@ -362,17 +362,17 @@
 	}
 	c.b.depose(s, epoch, "another took over")
 	s.promised, s.promisedBy = epoch, c.from
-	c.b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: uint32(s.ix), Epoch: epoch, By: c.from}}, func(error) {})
+	c.b.save(&trunk.Record{Promise: &trunk.Promise{Shard: uint32(s.ix), Epoch: epoch, By: c.from}}, func(error) {})
 }
 
 func (c *copied) state(st *trunk.ShardState) {
 	s := c.b.shards[st.Shard]
-	a := c.ack(st.Shard, st.Epoch, st.Stamp)
+	a := c.ack(st.Shard, st.Epoch, st.Version)
 	if c.outdone(s, a) {
 		return
 	}
-	if st.Epoch == s.epoch && s.stamp >= st.Stamp {
-		a.Stamp = s.stamp
+	if st.Epoch == s.epoch && s.version >= st.Version {
+		a.Version = s.version
 		c.flush()
 		return
 	}
@@ -388,25 +388,25 @@
 		return
 	}
 	if x.Epoch == s.epoch {
-		a.Stamp = s.stamp
+		a.Version = s.version
 		c.flush()
 		return
 	}
-	if s.epoch != x.FromEpoch || s.stamp != x.FromStamp {
-		a.Gap, a.HaveEpoch, a.HaveStamp = true, s.epoch, s.stamp
+	if s.epoch != x.FromEpoch || s.version != x.FromVersion {
+		a.Gap, a.HaveEpoch, a.HaveVersion = true, s.epoch, s.version
 		return
 	}
 	c.obey(s, x.Epoch)
 	*c.left++
 	c.b.lift(s, x, c.fin)
-	a.Stamp = s.stamp
+	a.Version = s.version
 }
 
 // lift raises a copy and has it synced as one record.
 func (b *Board) lift(s *shard, x *trunk.Raise, done func(error)) {
 	s.raise(x, b.now())
 	s.synced = 0
-	ep, at := s.epoch, s.stamp
+	ep, at := s.epoch, s.version
 	b.save(&trunk.Record{Raise: x}, func(err error) {
 		if err == nil && s.epoch == ep {
 			s.synced = max(s.synced, at)
@@ -420,7 +420,7 @@
 	s := b.shards[e.Shard]
 	a := c.by[e.Shard]
 	if a == nil {
-		a = c.ack(e.Shard, e.Epoch, s.stamp)
+		a = c.ack(e.Shard, e.Epoch, s.version)
 		if e.Epoch == s.epoch {
 			c.flush()
 		}
@@ -428,21 +428,21 @@
 	if a.Gap || c.outdone(s, a) {
 		return
 	}
-	if e.Epoch != s.epoch || e.Stamp > s.stamp+1 {
-		a.Gap, a.HaveEpoch, a.HaveStamp = true, s.epoch, s.stamp
+	if e.Epoch != s.epoch || e.Version > s.version+1 {
+		a.Gap, a.HaveEpoch, a.HaveVersion = true, s.epoch, s.version
 		return
 	}
-	if e.Stamp <= s.stamp {
+	if e.Version <= s.version {
 		return
 	}
 	s.take(e, b.now())
-	a.Stamp = e.Stamp
-	b.step("received", s, e.Epoch, e.Stamp, e.Change)
+	a.Version = e.Version
+	b.step("received", s, e.Epoch, e.Version, e.Change)
 	*c.left++
 	b.save(&trunk.Record{Entry: e}, func(err error) {
 		if err == nil && s.epoch == e.Epoch {
-			s.synced = max(s.synced, e.Stamp)
-			b.step("synced", s, e.Epoch, e.Stamp, e.Change)
+			s.synced = max(s.synced, e.Version)
+			b.step("synced", s, e.Epoch, e.Version, e.Change)
 		}
 		c.fin(err)
 	})
@@ -451,9 +451,9 @@
 // OnCopy answers reply once all it takes is synced. Learners take copies as
 // members do; they don't count.
 func (b *Board) OnCopy(q *trunk.CopyReq, reply func(*trunk.CopyResp)) {
-	r := &trunk.CopyResp{Roll: b.roll.Stamp, Member: (b.member() || !b.leaving) && q.Head.To == b.me.Id}
-	if !r.Member || q.Head.Roll != b.roll.Stamp || !inRoll(b.roll, q.Head.From.Id) {
-		b.sawRoll(q.Head.From, q.Head.Roll)
+	r := &trunk.CopyResp{Membership: b.membership.Version, Member: (b.member() || !b.leaving) && q.Head.To == b.me.Id}
+	if !r.Member || q.Head.Membership != b.membership.Version || !inMembership(b.membership, q.Head.From.Id) {
+		b.sawMembership(q.Head.From, q.Head.Membership)
 		reply(r)
 		return
 	}
@@ -500,6 +500,6 @@
 
 func (b *Board) grant(s *shard) {
 	if s.promisedBy != b.me.Id {
-		s.heldUntil = max(s.heldUntil, b.now()+b.o.Hold)
+		s.leasedUntil = max(s.leasedUntil, b.now()+b.o.Lease)
 	}
 }
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -197,7 +197,7 @@
 	life := m.life
 	b, err := exchange.New(exchange.Options{
 		Me: &trunk.Member{Addr: m.addr, Control: m.addr}, Seeds: w.seeds(m.first), First: m.first, Shards: simShards,
-		Hold: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 20000,
+		Lease: 900 * time.Millisecond, Beat: 250 * time.Millisecond, CallWait: 900 * time.Millisecond, Unreached: 2 * time.Second, LogBytes: 20000,
 		NewTable: func() exchange.Table { return numbering.NewTable(20 * time.Second) },
 		NewID:    func() string { w.ids++; return fmt.Sprintf("id%d", w.ids) },
 		Now:      func() time.Duration { return w.now }, Rand: w.rng.Intn,
@@ -356,8 +356,8 @@
 	}
 }
 
-func (x *wire) Hold(to *trunk.Member, q *trunk.HoldReq, cb func(*trunk.HoldResp)) {
-	carry(x, to.Addr, q, cb, func(b *exchange.Board, q *trunk.HoldReq, f func(*trunk.HoldResp)) { f(b.OnHold(q)) })
+func (x *wire) Lease(to *trunk.Member, q *trunk.LeaseReq, cb func(*trunk.LeaseResp)) {
+	carry(x, to.Addr, q, cb, func(b *exchange.Board, q *trunk.LeaseReq, f func(*trunk.LeaseResp)) { f(b.OnLease(q)) })
 }
 func (x *wire) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
 	carry(x, to.Addr, q, cb, (*exchange.Board).OnCopy)
@@ -705,7 +705,7 @@
 		w.add("m7", false)
 		w.run(w.now + 6*time.Second)
 		qt.Assert(t, w.ms["m7"].board.Blank(), qt.IsFalse)
-		qt.Assert(t, len(w.ms["m7"].board.Roll().Members), qt.Equals, 3)
+		qt.Assert(t, len(w.ms["m7"].board.Membership().Members), qt.Equals, 3)
 		b := w.pickOther(a)
 		w.ms[b].kill()
 		n := r.served
@@ -811,10 +811,10 @@
 	defer l.Close()
 	d := exchange.Door{Loop: l, Board: w.ms["m0"].board}
 	me := w.ms["m0"].board.Me()
-	h := &trunk.Head{From: me, To: me.Id, Roll: 1}
+	h := &trunk.Head{From: me, To: me.Id, Membership: 1}
 	c := t.Context()
 	for _, h := range []*trunk.Head{nil, {}, h} {
-		d.Hold(c, &trunk.HoldReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}, nil}})
+		d.Lease(c, &trunk.LeaseReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}, nil}})
 		d.Copy(c, &trunk.CopyReq{Head: h, Entries: []*trunk.Entry{{Shard: 999}}, States: []*trunk.ShardState{{Shard: 999}}})
 		d.Ask(c, &trunk.AskReq{Head: h, Asks: []*trunk.Ask{{Shard: 999}}})
 		d.Hand(c, &trunk.HandReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}}})
@@ -828,7 +828,7 @@
 func (w *world) askOne(to, from string, shard uint32, epoch uint64) bool {
 	t, f := w.ms[to].board, w.ms[from].board.Me()
 	ok := false
-	t.OnAsk(&trunk.AskReq{Head: &trunk.Head{From: f, To: t.Me().Id, Roll: t.Roll().Stamp}, Asks: []*trunk.Ask{{Shard: shard, Epoch: epoch}}}, func(r *trunk.AskResp) {
+	t.OnAsk(&trunk.AskReq{Head: &trunk.Head{From: f, To: t.Me().Id, Membership: t.Membership().Version}, Asks: []*trunk.Ask{{Shard: shard, Epoch: epoch}}}, func(r *trunk.AskResp) {
 		ok = r != nil && len(r.Replies) == 1 && r.Replies[0].Ok
 	})
 	w.run(w.now + 10*time.Millisecond)
@@ -908,7 +908,7 @@
 	l := m.Lines()[0]
 	ask := func(x *trunk.Raise) *trunk.CopyAck {
 		var a *trunk.CopyAck
-		m.OnCopy(&trunk.CopyReq{Head: &trunk.Head{From: w.ms["m0"].board.Me(), To: m.Me().Id, Roll: m.Roll().Stamp}, Raises: []*trunk.Raise{x}}, func(q *trunk.CopyResp) {
+		m.OnCopy(&trunk.CopyReq{Head: &trunk.Head{From: w.ms["m0"].board.Me(), To: m.Me().Id, Membership: m.Membership().Version}, Raises: []*trunk.Raise{x}}, func(q *trunk.CopyResp) {
 			if len(q.Acks) == 1 {
 				a = q.Acks[0]
 			}
@@ -916,15 +916,15 @@
 		w.run(w.now + 20*time.Millisecond)
 		return a
 	}
-	a := ask(&trunk.Raise{Epoch: l.Epoch + 640, FromEpoch: l.Epoch - 1, FromStamp: l.Stamp})
-	qt.Assert(t, a.Gap && a.HaveEpoch == l.Epoch && a.HaveStamp == l.Stamp, qt.IsTrue)
-	a = ask(&trunk.Raise{Epoch: l.Epoch + 640, FromEpoch: l.Epoch, FromStamp: l.Stamp + 1})
+	a := ask(&trunk.Raise{Epoch: l.Epoch + 640, FromEpoch: l.Epoch - 1, FromVersion: l.Version})
+	qt.Assert(t, a.Gap && a.HaveEpoch == l.Epoch && a.HaveVersion == l.Version, qt.IsTrue)
+	a = ask(&trunk.Raise{Epoch: l.Epoch + 640, FromEpoch: l.Epoch, FromVersion: l.Version + 1})
 	qt.Assert(t, a.Gap, qt.IsTrue)
 	qt.Assert(t, m.Lines()[0].Epoch, qt.Equals, l.Epoch)
-	a = ask(&trunk.Raise{Epoch: l.Epoch + 640, FromEpoch: l.Epoch, FromStamp: l.Stamp})
+	a = ask(&trunk.Raise{Epoch: l.Epoch + 640, FromEpoch: l.Epoch, FromVersion: l.Version})
 	qt.Assert(t, a.Gap, qt.IsFalse)
 	qt.Assert(t, m.Lines()[0].Epoch, qt.Equals, l.Epoch+640)
-	a = ask(&trunk.Raise{Epoch: l.Epoch + 64, FromEpoch: l.Epoch + 640, FromStamp: l.Stamp})
+	a = ask(&trunk.Raise{Epoch: l.Epoch + 64, FromEpoch: l.Epoch + 640, FromVersion: l.Version})
 	qt.Assert(t, a.Gap && a.Promised == l.Epoch+640, qt.IsTrue)
 }
 
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -6,7 +6,7 @@
 	"corkcove/internal/trunk"
 )
 
-// Tick drives holds, takeovers and handovers. It is called a few times in
+// Tick drives leases, takeovers and handovers. It is called a few times in
 // each beat.
 func (b *Board) Tick() {
 	now := b.now()
@@ -23,8 +23,8 @@
 	if alone {
 		b.alone = now
 	}
-	if b.urgent || now-b.lastHold >= b.o.Beat || alone && now-b.lastHold >= b.o.Beat/5 {
-		b.lastHold = now
+	if b.urgent || now-b.lastBeat >= b.o.Beat || alone && now-b.lastBeat >= b.o.Beat/5 {
+		b.lastBeat = now
 		b.beat()
 		b.noteReached()
 	}
@@ -33,23 +33,23 @@
 		case owner:
 			b.relet(s)
 			b.release(s)
-			if now-s.since > 2*b.o.Hold && !s.serving {
+			if now-s.since > 2*b.o.Lease && !s.serving {
 				b.depose(s, s.epoch, "no majority took its copies")
 				continue
 			}
-			if now > max(s.lease, s.since)+4*b.o.Hold && s.serving {
+			if now > max(s.lease, s.since)+4*b.o.Lease && s.serving {
 				b.depose(s, s.epoch, "no majority holds it")
 				continue
 			}
 			b.maybeHand(s)
 		case handing:
 			b.release(s)
-			if now-s.since > b.o.Hold {
+			if now-s.since > b.o.Lease {
 				s.role = owner
 				s.since = now
 			}
 		case asking:
-			if now-s.since > b.o.Hold || s.pre && now-s.since > b.o.Hold/3 {
+			if now-s.since > b.o.Lease || s.pre && now-s.since > b.o.Lease/3 {
 				b.depose(s, s.asked, "asked in vain")
 			}
 		}
@@ -64,7 +64,7 @@
 	var ms []*trunk.Mark
 	for _, s := range b.shards {
 		if s.role == owner && s.serving {
-			ms = append(ms, &trunk.Mark{Shard: uint32(s.ix), Epoch: s.epoch, Stamp: s.commit, Settled: s.settled})
+			ms = append(ms, &trunk.Mark{Shard: uint32(s.ix), Epoch: s.epoch, Version: s.commit, Settled: s.settled})
 		}
 	}
 	urgent := b.urgent
@@ -76,8 +76,8 @@
 		p.holding = true
 		at := b.now()
 		p.beaten = at
-		q := &trunk.HoldReq{Head: b.head(p), Marks: ms, Sound: b.ready(b.me.Id)}
-		b.wire.Hold(p.m, q, func(r *trunk.HoldResp) {
+		q := &trunk.LeaseReq{Head: b.head(p), Marks: ms, Sound: b.ready(b.me.Id)}
+		b.wire.Lease(p.m, q, func(r *trunk.LeaseResp) {
 			p.holding = false
 			if r == nil {
 				return
@@ -86,8 +86,8 @@
 				return
 			}
 			b.met(p, r.Sound, r.Leaving)
-			if r.Roll != b.roll.Stamp {
-				b.sawRoll(p.m, r.Roll)
+			if r.Membership != b.membership.Version {
+				b.sawMembership(p.m, r.Membership)
 				return
 			}
 			for _, i := range r.Granted {
@@ -129,20 +129,20 @@
 
 func (b *Board) met(p *peer, sound, leaving bool) {
 	now := b.now()
-	if sound && (!p.sound || now-p.heard > b.o.Hold) {
+	if sound && (!p.sound || now-p.heard > b.o.Lease) {
 		p.soundAt = now
 	}
 	p.heard, p.ever, p.leaving = now, true, leaving
 	p.sound = sound
 }
 
-func (b *Board) OnHold(q *trunk.HoldReq) *trunk.HoldResp {
-	r := &trunk.HoldResp{Roll: b.roll.Stamp, Sound: b.ready(b.me.Id), Member: b.member(), Id: b.me.Id, Leaving: b.leaving}
+func (b *Board) OnLease(q *trunk.LeaseReq) *trunk.LeaseResp {
+	r := &trunk.LeaseResp{Membership: b.membership.Version, Sound: b.ready(b.me.Id), Member: b.member(), Id: b.me.Id, Leaving: b.leaving}
 	if q.Head.To != b.me.Id {
 		return r
 	}
-	if q.Head.Roll != b.roll.Stamp {
-		b.sawRoll(q.Head.From, q.Head.Roll)
+	if q.Head.Membership != b.membership.Version {
+		b.sawMembership(q.Head.From, q.Head.Membership)
 		return r
 	}
 	from := q.Head.From.Id
@@ -158,10 +158,10 @@
 		s := b.shards[m.Shard]
 		if m.Epoch == s.epoch {
 			// What was committed a beat ago has had time to come.
-			if s.synced >= min(s.mark, m.Stamp) {
+			if s.synced >= min(s.mark, m.Version) {
 				s.fresh = b.now()
 			}
-			s.mark = m.Stamp
+			s.mark = m.Version
 		}
 		switch {
 		case m.Epoch <= s.ended:
@@ -172,7 +172,7 @@
 				b.settles[s.ix] = max(b.settles[s.ix], m.Settled)
 			}
 		case m.Epoch > s.promised:
-			s.rumour, s.rumourTo = from, b.now()+b.o.Hold
+			s.rumour, s.rumourTo = from, b.now()+b.o.Lease
 			s.asked = max(s.asked, m.Epoch)
 		case m.Epoch < s.promised:
 			r.Deposed = append(r.Deposed, &trunk.Mark{Shard: m.Shard, Epoch: s.promised})
@@ -190,13 +190,13 @@
 	who := s.promisedBy
 	if b.now() < s.rumourTo {
 		who = s.rumour
-	} else if b.now() >= s.heldUntil {
+	} else if b.now() >= s.leasedUntil {
 		return nil, false
 	}
 	if who == b.me.Id || who == "" || b.blank {
 		return nil, false
 	}
-	for _, m := range b.roll.Members {
+	for _, m := range b.membership.Members {
 		if m.Id == who {
 			return m, true
 		}
@@ -212,7 +212,7 @@
 // order gives the place of a member in the line for a shard: shard 0 goes to
 // the lowest index, the others start at a member each.
 func (b *Board) order(i int, id string) int {
-	n := len(b.roll.Members)
+	n := len(b.membership.Members)
 	x := b.index(id)
 	if x < 0 || n == 0 {
 		return n
@@ -237,7 +237,7 @@
 
 func (b *Board) first1(i int) string {
 	best, at := "", 1<<30
-	for _, m := range b.roll.Members {
+	for _, m := range b.membership.Members {
 		if o := b.order(i, m.Id); o < at && b.ready(m.Id) {
 			best, at = m.Id, o
 		}
@@ -247,7 +247,7 @@
 
 func (b *Board) reach() int {
 	n := 0
-	for _, m := range b.roll.Members {
+	for _, m := range b.membership.Members {
 		if b.alive(m.Id) {
 			n++
 		}
@@ -265,14 +265,14 @@
 		if s.role != idle || now < s.retryAt || now < s.rumourTo {
 			continue
 		}
-		if now < s.heldUntil && s.promisedBy != b.me.Id {
+		if now < s.leasedUntil && s.promisedBy != b.me.Id {
 			continue
 		}
 		// Who owned it before a restart need not wait: all others promised to it.
-		again := s.promisedBy == b.me.Id && now-b.started < 2*b.o.Hold
+		again := s.promisedBy == b.me.Id && now-b.started < 2*b.o.Lease
 		if f := b.first1(s.ix); f != b.me.Id && !again {
 			d := time.Duration(b.order(s.ix, b.me.Id)+1) * b.o.Beat
-			if now < max(s.heldUntil, s.retryAt, b.started)+2*b.o.Hold+d {
+			if now < max(s.leasedUntil, s.retryAt, b.started)+2*b.o.Lease+d {
 				continue
 			}
 		} else if !again && now-b.started < b.o.Beat && b.order(s.ix, b.me.Id) > 0 {
@@ -325,11 +325,11 @@
 		e := b.nextEpoch(s)
 		s.role, s.pre, s.since, s.asked = asking, false, now, e
 		s.promised, s.promisedBy = e, b.me.Id
-		s.heldUntil = 0
+		s.leasedUntil = 0
 		s.oks = map[string]bool{}
-		s.best, s.bestAt, s.bestSt = nil, s.epoch, s.stamp
+		s.best, s.bestAt, s.bestSt = nil, s.epoch, s.version
 		as = append(as, s.ask())
-		b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: uint32(s.ix), Epoch: e, By: b.me.Id}}, func(err error) {
+		b.save(&trunk.Record{Promise: &trunk.Promise{Shard: uint32(s.ix), Epoch: e, By: b.me.Id}}, func(err error) {
 			if err != nil {
 				if s.role == asking && s.asked == e {
 					b.depose(s, e, "own promise not synced")
@@ -346,7 +346,7 @@
 
 // ask is the question for a promise that the shard is asked under now.
 func (s *shard) ask() *trunk.Ask {
-	return &trunk.Ask{Shard: uint32(s.ix), Epoch: s.asked, HaveEpoch: s.epoch, HaveStamp: s.stamp, Pre: s.pre}
+	return &trunk.Ask{Shard: uint32(s.ix), Epoch: s.asked, HaveEpoch: s.epoch, HaveVersion: s.version, Pre: s.pre}
 }
 
 // askAgain repeats what is still asked to the members that have not promised: a
@@ -369,13 +369,13 @@
 func (b *Board) askPeer(p *peer, asks []*trunk.Ask) {
 	p.askedAt = b.now()
 	q := &trunk.AskReq{Head: b.head(p), Asks: asks}
-	roll := b.roll.Stamp
+	membership := b.membership.Version
 	b.wire.Ask(p.m, q, func(r *trunk.AskResp) {
 		if r == nil || !r.Member {
 			return
 		}
-		if r.Roll != b.roll.Stamp || roll != b.roll.Stamp {
-			b.sawRoll(p.m, r.Roll)
+		if r.Membership != b.membership.Version || membership != b.membership.Version {
+			b.sawMembership(p.m, r.Membership)
 			return
 		}
 		for _, a := range r.Replies {
@@ -389,9 +389,9 @@
 				}
 				continue
 			}
-			p.have[s.ix] = have{a.Epoch, span{a.HaveEpoch, a.HaveStamp}}
-			if a.State != nil && (a.HaveEpoch > s.bestAt || a.HaveEpoch == s.bestAt && a.HaveStamp > s.bestSt) {
-				s.best, s.bestAt, s.bestSt = a.State, a.HaveEpoch, a.HaveStamp
+			p.have[s.ix] = have{a.Epoch, span{a.HaveEpoch, a.HaveVersion}}
+			if a.State != nil && (a.HaveEpoch > s.bestAt || a.HaveEpoch == s.bestAt && a.HaveVersion > s.bestSt) {
+				s.best, s.bestAt, s.bestSt = a.State, a.HaveEpoch, a.HaveVersion
 			}
 			b.promised(s, a.Epoch, p.m.Id)
 		}
@@ -399,9 +399,9 @@
 }
 
 func (b *Board) OnAsk(q *trunk.AskReq, reply func(*trunk.AskResp)) {
-	r := &trunk.AskResp{Roll: b.roll.Stamp, Member: b.member() && q.Head.To == b.me.Id}
-	if !r.Member || q.Head.Roll != b.roll.Stamp || !inRoll(b.roll, q.Head.From.Id) {
-		b.sawRoll(q.Head.From, q.Head.Roll)
+	r := &trunk.AskResp{Membership: b.membership.Version, Member: b.member() && q.Head.To == b.me.Id}
+	if !r.Member || q.Head.Membership != b.membership.Version || !inMembership(b.membership, q.Head.From.Id) {
+		b.sawMembership(q.Head.From, q.Head.Membership)
 		reply(r)
 		return
 	}
@@ -432,7 +432,7 @@
 		if a.Epoch <= s.promised {
 			continue
 		}
-		if now < s.heldUntil && s.promisedBy != from {
+		if now < s.leasedUntil && s.promisedBy != from {
 			continue
 		}
 		if (s.role == owner || s.role == handing) && now < s.lease {
@@ -446,10 +446,10 @@
 		}
 		b.depose(s, a.Epoch, "promised to another")
 		s.promised, s.promisedBy = a.Epoch, from
-		s.heldUntil = max(s.heldUntil, now+b.o.Hold/2)
+		s.leasedUntil = max(s.leasedUntil, now+b.o.Lease/2)
 		b.vow(s, a, x)
 		*left++
-		b.save(&trunk.Record{Pledge: &trunk.Pledge{Shard: a.Shard, Epoch: a.Epoch, By: from}}, fin)
+		b.save(&trunk.Record{Promise: &trunk.Promise{Shard: a.Shard, Epoch: a.Epoch, By: from}}, fin)
 	}
 	fin(nil)
 }
@@ -457,8 +457,8 @@
 // vow fills in the promise, with the copy's content if it is newer than the asker's.
 func (b *Board) vow(s *shard, a *trunk.Ask, x *trunk.AskReply) {
 	x.Ok, x.Promised = true, a.Epoch
-	x.HaveEpoch, x.HaveStamp = s.epoch, s.stamp
-	if s.epoch > a.HaveEpoch || s.epoch == a.HaveEpoch && s.stamp > a.HaveStamp {
+	x.HaveEpoch, x.HaveVersion = s.epoch, s.version
+	if s.epoch > a.HaveEpoch || s.epoch == a.HaveEpoch && s.version > a.HaveVersion {
 		x.State = b.dump(s)
 	}
 }
@@ -469,7 +469,7 @@
 	}
 	s.oks[id] = true
 	n := 0
-	for _, m := range b.roll.Members {
+	for _, m := range b.membership.Members {
 		if s.oks[m.Id] {
 			n++
 		}
@@ -496,10 +496,10 @@
 		b.advance(s)
 	}
 	if st == nil {
-		s.begin, s.base = s.stamp, s.stamp
-		b.lift(s, &trunk.Raise{Shard: uint32(s.ix), Epoch: e, FromEpoch: s.epoch, FromStamp: s.stamp}, done)
+		s.begin, s.base = s.version, s.version
+		b.lift(s, &trunk.Raise{Shard: uint32(s.ix), Epoch: e, FromEpoch: s.epoch, FromVersion: s.version}, done)
 	} else {
-		s.begin, s.base = st.Stamp, st.Stamp
+		s.begin, s.base = st.Version, st.Version
 		b.install(s, st, e, done)
 	}
 	s.table.Lead()
@@ -515,9 +515,9 @@
 	if !s.serving {
 		return
 	}
-	if b.leaving || b.diskBad || b.stalled() && now-s.begun > 2*b.o.Hold {
-		for k := 0; k < len(b.roll.Members); k++ {
-			for _, m := range b.roll.Members {
+	if b.leaving || b.diskBad || b.stalled() && now-s.begun > 2*b.o.Lease {
+		for k := 0; k < len(b.membership.Members); k++ {
+			for _, m := range b.membership.Members {
 				if m.Id != b.me.Id && b.order(s.ix, m.Id) == k && b.ready(m.Id) {
 					b.hand(s, m.Id)
 					return
@@ -526,15 +526,15 @@
 		}
 		return
 	}
-	if len(b.roll.Members) < int(b.roll.Size) {
+	if len(b.membership.Members) < int(b.membership.Size) {
 		return
 	}
 	f := b.first1(s.ix)
-	if f == "" || f == b.me.Id || now-s.since < 4*b.o.Hold {
+	if f == "" || f == b.me.Id || now-s.since < 4*b.o.Lease {
 		return
 	}
 	p := b.peers[f]
-	if now-p.soundAt < 3*b.o.Hold || p.known[s.ix] != s.epoch || p.acked[s.ix]+64 < s.stamp {
+	if now-p.soundAt < 3*b.o.Lease || p.known[s.ix] != s.epoch || p.acked[s.ix]+64 < s.version {
 		return
 	}
 	for _, x := range b.shards {
@@ -555,7 +555,7 @@
 
 func (b *Board) finishHand(s *shard) {
 	p := b.peers[s.succ]
-	if p == nil || s.commit < s.stamp || p.known[s.ix] != s.epoch || p.acked[s.ix] < s.stamp {
+	if p == nil || s.commit < s.version || p.known[s.ix] != s.epoch || p.acked[s.ix] < s.version {
 		return
 	}
 	b.release(s)
@@ -566,7 +566,7 @@
 	q := &trunk.HandReq{Marks: []*trunk.Mark{{Shard: uint32(s.ix), Epoch: s.epoch}}, Successor: s.succ}
 	succ := s.succ
 	b.depose(s, s.epoch, "handed over")
-	s.heldUntil, s.retryAt = 0, b.now()+2*b.o.Hold
+	s.leasedUntil, s.retryAt = 0, b.now()+2*b.o.Lease
 	for _, x := range b.line {
 		q := &trunk.HandReq{Marks: q.Marks, Successor: succ, Head: b.head(x)}
 		b.wire.Hand(x.m, q, func(*trunk.HandResp) {})
@@ -574,7 +574,7 @@
 }
 
 func (b *Board) OnHand(q *trunk.HandReq) *trunk.HandResp {
-	if q.Head.To != b.me.Id || q.Head.Roll != b.roll.Stamp || !b.member() {
+	if q.Head.To != b.me.Id || q.Head.Membership != b.membership.Version || !b.member() {
 		return &trunk.HandResp{}
 	}
 	var ss []*shard
@@ -583,13 +583,13 @@
 		if s.promised != m.Epoch || s.promisedBy != q.Head.From.Id {
 			continue
 		}
-		s.heldUntil, s.ended = 0, m.Epoch
+		s.leasedUntil, s.ended = 0, m.Epoch
 		if q.Successor == b.me.Id {
 			if s.role == idle && !b.diskBad {
 				ss = append(ss, s)
 			}
 		} else {
-			s.retryAt = b.now() + b.o.Hold
+			s.retryAt = b.now() + b.o.Lease
 		}
 	}
 	b.ask(ss)
@@ -608,5 +608,5 @@
 			return false
 		}
 	}
-	return b.gone || b.member() && len(b.learners) == 0 && len(b.roll.Members) <= int(b.roll.Size)
+	return b.gone || b.member() && len(b.learners) == 0 && len(b.membership.Members) <= int(b.membership.Size)
 }
--- a/internal/exchange/worlds_test.go
+++ b/internal/exchange/worlds_test.go
@@ -212,7 +212,7 @@
 		if m.board.Blank() {
 			return m.addr + " is no member"
 		}
-		if n := len(m.board.Roll().Members); n != g.p.Members {
+		if n := len(m.board.Membership().Members); n != g.p.Members {
 			return fmt.Sprintf("%s knows %d members", m.addr, n)
 		}
 	}
@@ -240,8 +240,8 @@
 	for _, m := range g.all() {
 		if m.up {
 			for i, l := range m.board.Lines() {
-				if l.Epoch != epoch[i] || l.Stamp+40 < committed[i] {
-					return fmt.Sprintf("%s has shard %d at epoch %d, version %d, its owner at %d, %d", m.addr, i, l.Epoch, l.Stamp, epoch[i], committed[i])
+				if l.Epoch != epoch[i] || l.Version+40 < committed[i] {
+					return fmt.Sprintf("%s has shard %d at epoch %d, version %d, its owner at %d, %d", m.addr, i, l.Epoch, l.Version, epoch[i], committed[i])
 				}
 			}
 		}
--- a/internal/hall/hall.go
+++ b/internal/hall/hall.go
@@ -87,7 +87,7 @@
 
 // Endpoint works on each request for a while, then answers, or breaks off.
 type Endpoint struct {
-	ID, Service, Site string
+	ID, Service, Zone string
 	Slots             int
 	Work              func(r *http.Request) time.Duration
 	Breaks            func(r *http.Request) bool
@@ -151,7 +151,7 @@
 	End     *Endpoint
 	Desk    *subscriber.Desk
 	Keys    *switchboard.KeyMeter
-	site    string
+	zone    string
 }
 
 // Mesh is a whole one. Its pins live in one table, as under one owner.
@@ -247,18 +247,18 @@
 
 // Add starts a node beside e; it is in force with the next view.
 func (m *Mesh) Add(e *Endpoint) *Node {
-	n := &Node{Name: "node-" + e.ID, End: e, site: e.Site}
+	n := &Node{Name: "node-" + e.ID, End: e, zone: e.Zone}
 	go e.serve(m.Wires.Listen("app-" + e.ID))
 	n.Desk = subscriber.New(subscriber.Options{Service: e.Service, Beat: time.Hour, Missed: 3, Queue: 1.5, Note: func(string, ...any) {}, Changed: func(subscriber.Life) {}})
 	n.Desk.Beat(subscriber.Beat{ID: e.ID, Slots: e.Slots, State: "ready", Seq: 1})
 	in := switchboard.NewInbound(switchboard.InboundOptions{AppAddr: "app-" + e.ID, Desk: n.Desk, Line: switchboard.NewAppLine(m.Wires.Line(), m.Wires.Line()), Peek: 64 << 10})
 	go (&http.Server{Handler: in}).Serve(m.Wires.Listen("in-" + e.ID))
-	n.Pools = switchboard.NewPools(e.Site, 2.2, 5).SlowStart(time.Second)
+	n.Pools = switchboard.NewPools(e.Zone, 2.2, 5).SlowStart(time.Second)
 	n.Keys = switchboard.NewKeyMeter(time.Now)
 	n.Tickets = ticket.New(1<<16, time.Hour, time.Now)
 	conf := func() uint64 {
 		if p := n.Plan.Load(); p != nil {
-			return p.Stamp
+			return p.Version
 		}
 		return 0
 	}
@@ -286,7 +286,7 @@
 	defer m.mu.Unlock()
 	m.seq++
 	m.states = states
-	v := &trunk.View{Epoch: 1, Stamp: m.seq, Nodes: uint32(len(m.Nodes)), Hot: m.hot}
+	v := &trunk.View{Epoch: 1, Version: m.seq, Nodes: uint32(len(m.Nodes)), Hot: m.hot}
 	for _, n := range m.Nodes {
 		s := "up"
 		if x, ok := states[n.End.ID]; ok {
@@ -296,7 +296,7 @@
 			continue
 		}
 		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: n.End.ID, Service: n.End.Service, Addr: "app-" + n.End.ID, Inbound: "in-" + n.End.ID, Node: n.Name,
-			Site: n.End.Site, Slots: uint32(n.End.Slots), State: s, Sound: true})
+			Zone: n.End.Zone, Slots: uint32(n.End.Slots), State: s, Sound: true})
 	}
 	m.view = v
 	for _, n := range m.Nodes {
@@ -312,7 +312,7 @@
 func (m *Mesh) Push(d dialplan.Doc) {
 	for _, n := range m.Nodes {
 		n.Plan.Store(dialplan.Compile(d))
-		n.Tickets.Config(d.Stamp, d.Write)
+		n.Tickets.Config(d.Version, d.Write)
 	}
 }
 
@@ -371,19 +371,19 @@
 	views, configs := map[uint64]bool{}, map[uint64]bool{}
 	for _, n := range m.Nodes {
 		r := n.Tickets.Report(time.Hour, 0, 1<<30)
-		r.Node, r.Site, r.Service, r.Role = n.Name, n.site, n.End.Service, "sidecar"
+		r.Node, r.Zone, r.Service, r.Role = n.Name, n.zone, n.End.Service, "sidecar"
 		r.Ratio, r.Slack, r.WindowS, r.Far, r.Heavy = Ratio, Slack, Window.Seconds(), 2.2, 5
 		q := &trunk.PartsReq{}
 		for _, v := range r.Views {
-			if !views[v.Stamp] {
-				views[v.Stamp] = true
+			if !views[v.Version] {
+				views[v.Version] = true
 				q.Views = append(q.Views, v)
 			}
 		}
 		for _, p := range r.Configs {
-			if !configs[p.Stamp] {
-				configs[p.Stamp] = true
-				q.Configs = append(q.Configs, p.Stamp)
+			if !configs[p.Version] {
+				configs[p.Version] = true
+				q.Configs = append(q.Configs, p.Version)
 			}
 		}
 		p := n.Tickets.Parts(q)
--- a/internal/hall/hot_test.go
+++ b/internal/hall/hot_test.go
@@ -61,7 +61,7 @@
 		var dead sync.Map
 		for i := range endpoints {
 			id := fmt.Sprint("e", i)
-			es = append(es, &Endpoint{ID: id, Service: "s", Site: fmt.Sprint("z", i%3), Slots: 6, Work: func(r *http.Request) time.Duration {
+			es = append(es, &Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", i%3), Slots: 6, Work: func(r *http.Request) time.Duration {
 				if strings.HasPrefix(r.URL.Path, "/check/") {
 					return 4 * time.Millisecond
 				}
--- a/internal/hall/session_test.go
+++ b/internal/hall/session_test.go
@@ -28,8 +28,8 @@
 	alone = `{"serviceName":"desk","share":100}`
 )
 
-func doc(t *testing.T, stamp int, name string, timeout float64, split string) dialplan.Doc {
-	d, err := dialplan.Read(fmt.Appendf(nil, rules, stamp, name, timeout, split))
+func doc(t *testing.T, version int, name string, timeout float64, split string) dialplan.Doc {
+	d, err := dialplan.Read(fmt.Appendf(nil, rules, version, name, timeout, split))
 	qt.Assert(t, err, qt.IsNil)
 	return d
 }
@@ -41,7 +41,7 @@
 		if i >= 5 {
 			svc = "other"
 		}
-		es = append(es, &Endpoint{ID: fmt.Sprint("e", i), Service: svc, Site: fmt.Sprint("z", i%2), Slots: 12, Work: func(r *http.Request) time.Duration { return 60 * time.Millisecond }})
+		es = append(es, &Endpoint{ID: fmt.Sprint("e", i), Service: svc, Zone: fmt.Sprint("z", i%2), Slots: 12, Work: func(r *http.Request) time.Duration { return 60 * time.Millisecond }})
 	}
 	return New(es...)
 }
@@ -143,7 +143,7 @@
 		all := rush(m, 60, 12, func() {
 			m.Push(doc(t, 2, "buy", 4, swung))
 			time.Sleep(300 * time.Millisecond)
-			n := m.Add(&Endpoint{ID: "e9", Service: "desk", Site: "z0", Slots: 12, Work: func(*http.Request) time.Duration { return 60 * time.Millisecond }})
+			n := m.Add(&Endpoint{ID: "e9", Service: "desk", Zone: "z0", Slots: 12, Work: func(*http.Request) time.Duration { return 60 * time.Millisecond }})
 			n.Plan.Store(m.Nodes[0].Plan.Load())
 			m.Publish(nil)
 			m.Push(doc(t, 3, "purchase", 2.5, swung))
--- a/internal/numbering/taken.go
+++ b/internal/numbering/taken.go
@@ -40,10 +40,10 @@
 
 func (k *taken) add(x *trunk.Taken) {
 	n := len(k.versions)
-	if len(x.GetSum()) < SumSize || n > 0 && x.Stamp <= k.versions[n-1] {
+	if len(x.GetSum()) < SumSize || n > 0 && x.Version <= k.versions[n-1] {
 		return
 	}
-	k.versions, k.sums = append(k.versions, x.Stamp), append(k.sums, x.Sum[:SumSize]...)
+	k.versions, k.sums = append(k.versions, x.Version), append(k.sums, x.Sum[:SumSize]...)
 	if n++; n > MostTaken {
 		k.floor = k.versions[n-MostTaken-1]
 		k.versions, k.sums = k.versions[n-MostTaken:], k.sums[(n-MostTaken)*SumSize:]
@@ -72,7 +72,7 @@
 		return
 	}
 	if len(x.Taken) >= mostWithin && len(k.versions) == 0 {
-		k.floor = x.Taken[0].Stamp - 1
+		k.floor = x.Taken[0].Version - 1
 	}
 	for _, o := range x.Taken {
 		k.add(o)
--- a/internal/numbering/taken_test.go
+++ b/internal/numbering/taken_test.go
@@ -18,7 +18,7 @@
 
 func TestRecordOfOrdersIsBoundedAndItsDumpsStayAsTheyWere(t *testing.T) {
 	a, b := NewTable(20*time.Second), NewTable(20*time.Second)
-	take := func(t *Table, v uint64) { t.Apply(&trunk.Change{Taken: &trunk.Taken{Stamp: v, Sum: sumOf(v)}}, 0) }
+	take := func(t *Table, v uint64) { t.Apply(&trunk.Change{Taken: &trunk.Taken{Version: v, Sum: sumOf(v)}}, 0) }
 	const extra = 10
 	for v := uint64(1); v <= MostTaken; v++ {
 		take(a, 2*v)
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -33,7 +33,7 @@
 	MachineClass string   `toml:"machineClass"`
 	ServedRoles  []string `toml:"servedRoles"`
 	IP           string   `toml:"ip"`
-	SiteName     string   `toml:"siteName"`
+	ZoneName     string   `toml:"siteName"`
 	RegionName   string   `toml:"regionName"`
 	LossCounted  bool     `toml:"lossCounted"`
 	FirstStart   bool     `toml:"firstStart"`
@@ -55,7 +55,7 @@
 	InnerPorts []int             `toml:"innerPortRange"`
 	Seeds      []string          `toml:"seedList"`
 	Listen     Listen            `toml:"listenAddrs"`
-	Sites      map[string]string `toml:"sites"`
+	Zones      map[string]string `toml:"sites"`
 }
 
 type CloudAPI struct {
@@ -103,7 +103,7 @@
 
 type Tolerance struct {
 	MachineLosses int `toml:"machineLosses"`
-	Sites         int `toml:"sites"`
+	Zones         int `toml:"sites"`
 	RegionLosses  int `toml:"regionLosses"`
 }
 
@@ -216,7 +216,7 @@
 		}
 	}
 	need("self.nodeName", o.Self.NodeName)
-	need("self.siteName", o.Self.SiteName)
+	need("self.siteName", o.Self.ZoneName)
 	if _, err := netip.ParseAddr(o.Self.IP); err != nil {
 		bad = append(bad, fmt.Sprintf("self.ip: %q is no address", o.Self.IP))
 	}
--- a/internal/replay/forecast.go
+++ b/internal/replay/forecast.go
@@ -19,9 +19,9 @@
 
 // Forecast is what a rehearsal foretells of a proposal, kept until it is live.
 type Forecast struct {
-	Version  int       `json:"corkcoveForecast"`
+	Format   int       `json:"corkcoveForecast"`
 	Made     time.Time `json:"made"`
-	Stamp    uint64    `json:"configuration"`
+	Version  uint64    `json:"configuration"`
 	Sum      string    `json:"configurationSum"`
 	Retries  *Retries  `json:"retries,omitempty"`
 	ByNode   bool      `json:"byNode"`
@@ -38,9 +38,9 @@
 
 // Foretell keeps what a report says of the flows under the proposal.
 func (r *Report) Foretell(rules Rules, byNode bool, now time.Time) Forecast {
-	f := Forecast{Version: forecastVersion, Made: now.UTC(), Retries: rules.Retries, ByNode: byNode, Control: r.Control, Coverage: r.Coverage, Flags: len(r.Flags)}
+	f := Forecast{Format: forecastVersion, Made: now.UTC(), Retries: rules.Retries, ByNode: byNode, Control: r.Control, Coverage: r.Coverage, Flags: len(r.Flags)}
 	if rules.Plan != nil {
-		f.Stamp, f.Sum = rules.Plan.Stamp, rules.Plan.Sum()
+		f.Version, f.Sum = rules.Plan.Version, rules.Plan.Sum()
 	}
 	for _, s := range r.Shifts {
 		f.Flows = append(f.Flows, Foretold{s.Flow, s.New})
@@ -65,10 +65,10 @@
 		return f, Error.New("%s: cut short, or no forecast of `corkcove replay run --save`: %v", path, err)
 	}
 	switch {
-	case f.Version == 0:
+	case f.Format == 0:
 		return f, Error.New("%s: this is no forecast of `corkcove replay run --save`", path)
-	case f.Version != forecastVersion:
-		return f, Error.New("%s: a forecast of version %d, which is not known", path, f.Version)
+	case f.Format != forecastVersion:
+		return f, Error.New("%s: a forecast of version %d, which is not known", path, f.Format)
 	case len(f.Flows) == 0:
 		return f, Error.New("%s: the forecast has no flows", path)
 	}
@@ -127,7 +127,7 @@
 
 // happened gathers how the flows of a record were carried under one
 // configuration.
-func happened(c *trunk.Carried, stamp uint64, byNode bool, settle time.Duration) (map[Flow]*Shares, int) {
+func happened(c *trunk.Carried, version uint64, byNode bool, settle time.Duration) (map[Flow]*Shares, int) {
 	a := atlasOf(c)
 	out := map[Flow]*Shares{}
 	other := 0
@@ -135,12 +135,12 @@
 	for _, n := range c.Nodes {
 		from := int64(0)
 		for _, p := range n.Configs {
-			if p.Stamp == stamp {
+			if p.Version == version {
 				from = p.AtUs + settle.Microseconds()
 			}
 		}
 		for _, t := range n.Tickets {
-			if t.Config != stamp || t.AtUs < from {
+			if t.Config != version || t.AtUs < from {
 				other++
 				continue
 			}
@@ -151,7 +151,7 @@
 			if out[k] == nil {
 				out[k] = newShares()
 			}
-			out[k].add(a.carried(t, n.Site), t.AtUs/blockUs)
+			out[k].add(a.carried(t, n.Zone), t.AtUs/blockUs)
 		}
 	}
 	for _, s := range out {
@@ -183,22 +183,22 @@
 		if err != nil {
 			return Error.Wrap(err)
 		}
-		if d.Stamp == f.Stamp {
+		if d.Version == f.Version {
 			if x.Sum() == f.Sum {
 				return nil
 			}
-			return Error.New("the forecast is of another proposal than the %s that is in force: their contents differ", dialplan.FormatStamp(f.Stamp))
+			return Error.New("the forecast is of another proposal than the %s that is in force: their contents differ", dialplan.FormatVersion(f.Version))
 		}
-		had = append(had, dialplan.FormatStamp(d.Stamp))
+		had = append(had, dialplan.FormatVersion(d.Version))
 	}
-	return Error.New("the forecast is of %s, which was not in force while the record was taken (%s)", dialplan.FormatStamp(f.Stamp), strings.Join(had, ", "))
+	return Error.New("the forecast is of %s, which was not in force while the record was taken (%s)", dialplan.FormatVersion(f.Version), strings.Join(had, ", "))
 }
 
 // newest gives the newest configuration of a record.
 func newest(c *trunk.Carried) uint64 {
 	s := uint64(0)
 	for _, d := range c.Configs {
-		s = max(s, d.Stamp)
+		s = max(s, d.Version)
 	}
 	return s
 }
@@ -209,11 +209,11 @@
 	if err := f.Matches(c); err != nil && !b.Any {
 		return nil, err
 	}
-	stamp := f.Stamp
-	if stamp == 0 || b.Any {
-		stamp = newest(c)
+	version := f.Version
+	if version == 0 || b.Any {
+		version = newest(c)
 	}
-	live, other := happened(c, stamp, f.ByNode, b.Settle)
+	live, other := happened(c, version, f.ByNode, b.Settle)
 	out := &Compared{Flows: []ComparedFlow{}, Outside: []Outside{}, Unseen: []Flow{}, New: []Flow{}, Few: []Flow{}, Before: other}
 	r := &Report{}
 	r.coverage(c)
@@ -231,7 +231,7 @@
 		out.Requests += s.Requests
 	}
 	if out.Requests == 0 {
-		return nil, Error.New("the record has no request that was carried under %s", dialplan.FormatStamp(stamp))
+		return nil, Error.New("the record has no request that was carried under %s", dialplan.FormatVersion(version))
 	}
 	known := map[Flow]bool{}
 	type pair struct {
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -30,9 +30,9 @@
 
 var bars = Bars{Off: 0.02, Coverage: 0.9}
 
-func doc(t *testing.T, stamp int, edits ...string) dialplan.Doc {
+func doc(t *testing.T, version int, edits ...string) dialplan.Doc {
 	t.Helper()
-	s := fmt.Sprintf(rules, stamp)
+	s := fmt.Sprintf(rules, version)
 	for i := 0; i < len(edits); i += 2 {
 		n := strings.Replace(s, edits[i], edits[i+1], 1)
 		qt.Assert(t, n == s, qt.IsFalse, qt.Commentf("%q is not there", edits[i]))
@@ -52,7 +52,7 @@
 		if i >= 3 {
 			svc = "seats"
 		}
-		es = append(es, &hall.Endpoint{ID: fmt.Sprint("e", i), Service: svc, Site: "z", Slots: 4, Breaks: broken, Work: func(r *http.Request) time.Duration {
+		es = append(es, &hall.Endpoint{ID: fmt.Sprint("e", i), Service: svc, Zone: "z", Slots: 4, Breaks: broken, Work: func(r *http.Request) time.Duration {
 			return 20*time.Millisecond + time.Duration(len(r.Header.Get("X-Request-Id"))*7)*time.Millisecond
 		}})
 	}
@@ -265,7 +265,7 @@
 }
 
 func TestCallsAreJoinedToTheRequestThatMadeThem(t *testing.T) {
-	v := &trunk.View{Epoch: 1, Stamp: 1, Endpoints: []*trunk.Endpoint{{Id: "e0", Node: "n0", Service: "s", State: "up", Inbound: "i", Slots: 2}}}
+	v := &trunk.View{Epoch: 1, Version: 1, Endpoints: []*trunk.Endpoint{{Id: "e0", Node: "n0", Service: "s", State: "up", Inbound: "i", Slots: 2}}}
 	ticket := func(id string, at, due int64, d ...*trunk.Dispatch) *trunk.Ticket {
 		return &trunk.Ticket{Id: id, AtUs: at, DeadlineUs: due, DueUs: due, Dispatches: d}
 	}
--- a/internal/replay/shift.go
+++ b/internal/replay/shift.go
@@ -136,7 +136,7 @@
 	a := atlas{map[string]string{}, map[string]string{}}
 	for _, v := range c.Views {
 		for _, e := range v.Endpoints {
-			a.node[e.Id], a.zone[e.Id] = cmp.Or(e.Node, e.Id), e.Site
+			a.node[e.Id], a.zone[e.Id] = cmp.Or(e.Node, e.Id), e.Zone
 		}
 	}
 	return a
@@ -198,7 +198,7 @@
 	if s.byNode {
 		return n.Node
 	}
-	return n.Site
+	return n.Zone
 }
 
 func (s *flows) add(n *trunk.TicketsResp, t *trunk.Ticket, old, then *Fare) {
@@ -212,7 +212,7 @@
 		s.m[k] = x
 	}
 	x.Requests++
-	a, b := s.played(old, n.Site), s.played(then, n.Site)
+	a, b := s.played(old, n.Zone), s.played(then, n.Zone)
 	x.Old.add(a, t.AtUs/blockUs)
 	x.New.add(b, t.AtUs/blockUs)
 	if a.node != b.node {
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -197,7 +197,7 @@
 	}
 	views := map[[2]uint64]*trunk.View{}
 	for _, v := range c.Views {
-		views[[2]uint64{v.Epoch, v.Stamp}] = v
+		views[[2]uint64{v.Epoch, v.Version}] = v
 		for _, e := range v.Endpoints {
 			w.place(e.Id).slots = max(int(e.Slots), 1)
 			w.place(e.Id).direct = e.Inbound == ""
@@ -214,7 +214,7 @@
 		if err != nil {
 			return nil, err
 		}
-		docs[d.Stamp] = dialplan.Compile(x)
+		docs[d.Version] = dialplan.Compile(x)
 	}
 	var plan *dialplan.Table
 	if r.Plan != nil {
@@ -225,7 +225,7 @@
 	since := func() time.Duration { return time.Duration(w.now-first+3600e6) * time.Microsecond }
 	for _, t := range c.Nodes {
 		n := &node{r: t, plan: plan, tickets: t.Tickets, keys: switchboard.NewKeyMeter(clock)}
-		n.pools = switchboard.NewPools(t.Site, t.Far, t.Heavy).Prefer(t.Node, int(t.Near)).SlowStart(2 * time.Second)
+		n.pools = switchboard.NewPools(t.Zone, t.Far, t.Heavy).Prefer(t.Node, int(t.Near)).SlowStart(2 * time.Second)
 		if t.Role == "sidecar" {
 			n.pools.Beside(t.Node)
 		}
@@ -236,7 +236,7 @@
 			ry = *r.Retries
 		}
 		n.budget = switchboard.NewBudget(ry.Ratio, ry.Slack, ry.Window, n.pools.Nodes, since)
-		n.cords = cord.New(cord.Options{Now: clock, Config: func() uint64 { return stampOf(n.plan) }, Touch: time.Hour, Idle: time.Hour, Most: 1 << 20,
+		n.cords = cord.New(cord.Options{Now: clock, Config: func() uint64 { return versionOf(n.plan) }, Touch: time.Hour, Idle: time.Hour, Most: 1 << 20,
 			Ask: func(_ context.Context, q *trunk.PinReq) (*trunk.PinResp, error) {
 				ch, p := w.pins.Pin(q, since())
 				if ch != nil {
@@ -245,7 +245,7 @@
 				return p.Resp(), nil
 			}})
 		for i, v := range t.Views {
-			x := views[[2]uint64{v.Epoch, v.Stamp}]
+			x := views[[2]uint64{v.Epoch, v.Version}]
 			if x == nil {
 				continue
 			}
@@ -256,7 +256,7 @@
 			}
 		}
 		for i, p := range t.Configs {
-			x := docs[p.Stamp]
+			x := docs[p.Version]
 			if plan != nil || x == nil {
 				continue
 			}
@@ -271,11 +271,11 @@
 	return w, nil
 }
 
-func stampOf(t *dialplan.Table) uint64 {
+func versionOf(t *dialplan.Table) uint64 {
 	if t == nil {
 		return 0
 	}
-	return t.Stamp
+	return t.Version
 }
 
 func hash(s string) uint64 {
@@ -323,10 +323,10 @@
 			}
 		}
 		var es []*trunk.Endpoint
-		stamp := uint64(0)
+		version := uint64(0)
 		for _, n := range w.nodes {
-			if n.view != nil && n.view.Stamp >= stamp {
-				es, stamp = n.view.Endpoints, n.view.Stamp
+			if n.view != nil && n.view.Version >= version {
+				es, version = n.view.Endpoints, n.view.Version
 			}
 		}
 		hot, steps := w.hots.Judge(maps.Values(said), es, time.Duration(w.now-start)*time.Microsecond, w.now)
@@ -496,7 +496,7 @@
 		service = x.plan.Services[i].Name
 	}
 	p := x.n.cords.Find(context.Background(), cord.Ask{Key: k, Allowed: allowed, Service: service, Before: []string{x.t.Service}}, x.n.pools)
-	if p.State == cord.Hold {
+	if p.State == cord.Lease {
 		x.end(switchboard.Refused.Code())
 		return false
 	}
--- a/internal/subscriber/subscriber.go
+++ b/internal/subscriber/subscriber.go
@@ -31,7 +31,7 @@
 	ID      string
 	Service string
 	Addr    string
-	Site    string
+	Zone    string
 	Release string
 	Slots   int
 	State   string
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -12,7 +12,7 @@
 )
 
 // Agent is a node's side: it answers polls, takes views and configurations
-// whose epoch and stamp rise, and says hello while no master polls it.
+// whose epoch and version rise, and says hello while no master polls it.
 type Agent struct {
 	Lines  *trunk.Lines
 	Seeds  []string
@@ -21,12 +21,12 @@
 	Quiet  time.Duration
 	Now    func() time.Duration
 	Note   func(f string, a ...any)
-	Trace  func(kind, what string, epoch, stamp uint64)
+	Trace  func(kind, what string, epoch, version uint64)
 	OnView func(*trunk.View)
 	// OnConfig applies a whole configuration, OnPatch changes to the one in
 	// force; an error leaves the old one.
-	OnConfig func(stamp uint64, data []byte) error
-	OnPatch  func(stamp uint64, patches [][]byte) error
+	OnConfig func(version uint64, data []byte) error
+	OnPatch  func(version uint64, patches [][]byte) error
 
 	mu     sync.Mutex
 	node   *trunk.NodeState
@@ -126,7 +126,7 @@
 	}
 	a.polled = max(a.Now()+promised, a.polledUnless(c))
 	out := proto.Clone(a.node).(*trunk.NodeState)
-	out.ViewEpoch, out.ViewStamp, out.ConfigStamp = a.view.GetEpoch(), a.view.GetStamp(), a.conf
+	out.ViewEpoch, out.ViewVersion, out.ConfigVersion = a.view.GetEpoch(), a.view.GetVersion(), a.conf
 	return &trunk.PollResp{Node: out, Epoch: a.epoch}, nil
 }
 
@@ -147,7 +147,7 @@
 	ok := a.take(v, max(q.Epoch, v.Epoch), q.To)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &trunk.ViewResp{Ok: ok, Epoch: a.view.GetEpoch(), Stamp: a.view.GetStamp()}, nil
+	return &trunk.ViewResp{Ok: ok, Epoch: a.view.GetEpoch(), Version: a.view.GetVersion()}, nil
 }
 
 // take takes a view from a master under an epoch, which may be later than the
@@ -161,13 +161,13 @@
 		a.mu.Unlock()
 		return false
 	}
-	if o := a.view; o != nil && (v.Epoch < o.Epoch || v.Epoch == o.Epoch && v.Stamp <= o.Stamp) {
-		ok := v.Epoch == o.Epoch && v.Stamp == o.Stamp
+	if o := a.view; o != nil && (v.Epoch < o.Epoch || v.Epoch == o.Epoch && v.Version <= o.Version) {
+		ok := v.Epoch == o.Epoch && v.Version == o.Version
 		a.mu.Unlock()
 		return ok
 	}
 	if v.Base > 0 {
-		if o := a.view; o == nil || o.Epoch != v.Epoch || o.Stamp != v.Base {
+		if o := a.view; o == nil || o.Epoch != v.Epoch || o.Version != v.Base {
 			a.mu.Unlock()
 			return false
 		}
@@ -177,7 +177,7 @@
 	f := a.OnView
 	a.mu.Unlock()
 	if a.Trace != nil {
-		a.Trace("view", "applied", v.Epoch, v.Stamp)
+		a.Trace("view", "applied", v.Epoch, v.Version)
 	}
 	f(v)
 	return true
@@ -187,19 +187,19 @@
 	if q.To != "" && q.To != a.Name {
 		return &trunk.DeliverResp{}, nil
 	}
-	ok := a.configure(q.Epoch, q.Stamp, q.Base, q.Data, q.Patches)
+	ok := a.configure(q.Epoch, q.Version, q.Base, q.Data, q.Patches)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return &trunk.DeliverResp{Ok: ok, Stamp: a.conf}, nil
+	return &trunk.DeliverResp{Ok: ok, Version: a.conf}, nil
 }
 
-func (a *Agent) configure(epoch, stamp, base uint64, data []byte, patches [][]byte) bool {
+func (a *Agent) configure(epoch, version, base uint64, data []byte, patches [][]byte) bool {
 	a.cmu.Lock()
 	defer a.cmu.Unlock()
 	a.mu.Lock()
 	old := a.conf
 	a.mu.Unlock()
-	if stamp <= old {
+	if version <= old {
 		return true
 	}
 	var err error
@@ -215,20 +215,20 @@
 			ps = append(ps, p)
 		}
 		if err == nil {
-			err = a.OnPatch(stamp, ps)
+			err = a.OnPatch(version, ps)
 		}
 	} else if data, err = trunk.Unpack(data); err == nil {
-		err = a.OnConfig(stamp, data)
+		err = a.OnConfig(version, data)
 	}
 	if err != nil {
-		a.Note("configuration %d from epoch %d can't be applied: %v", stamp, epoch, err)
+		a.Note("configuration %d from epoch %d can't be applied: %v", version, epoch, err)
 		return false
 	}
 	a.mu.Lock()
-	a.conf = stamp
+	a.conf = version
 	a.mu.Unlock()
 	if a.Trace != nil {
-		a.Trace("configuration", "applied", epoch, stamp)
+		a.Trace("configuration", "applied", epoch, version)
 	}
 	return true
 }
@@ -246,7 +246,7 @@
 	return a.last
 }
 
-// Config is the stamp of the configuration in force here.
+// Config is the version of the configuration in force here.
 func (a *Agent) Config() uint64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -272,7 +272,7 @@
 		}
 	}
 	add(a.view.GetMaster())
-	for _, m := range a.view.GetRoll().GetMembers() {
+	for _, m := range a.view.GetMembership().GetMembers() {
 		add(m.Addr)
 	}
 	for _, s := range a.Seeds {
@@ -347,7 +347,7 @@
 			a.mu.Unlock()
 			return true
 		}
-		for _, m := range r.Roll.GetMembers() {
+		for _, m := range r.Membership.GetMembers() {
 			todo = append(todo, m.Addr)
 		}
 		if r.MasterAddr != "" {
--- a/internal/supervisor/delta_test.go
+++ b/internal/supervisor/delta_test.go
@@ -57,8 +57,8 @@
 	return e.Node.Deliver(c, q)
 }
 
-func config(stamp, routes int, timeout float64) []byte {
-	b := fmt.Appendf(nil, `{"stamp":"r%d","resourceList":[{"variant":"serviceList","metadata":{"name":"s"},"specification":{"soundnessPath":"/h"}}`, stamp)
+func config(version, routes int, timeout float64) []byte {
+	b := fmt.Appendf(nil, `{"stamp":"r%d","resourceList":[{"variant":"serviceList","metadata":{"name":"s"},"specification":{"soundnessPath":"/h"}}`, version)
 	for i := range routes {
 		t := 2.0
 		if i == 7 {
@@ -91,9 +91,9 @@
 			return nil
 		}
 		s.m.lines.PutNode("a0", e)
-		last := &trunk.Config{Stamp: 3, Packed: trunk.Pack(config(3, 400, 2))}
+		last := &trunk.Config{Version: 3, Packed: trunk.Pack(config(3, 400, 2))}
 		s.do(func() {
-			s.m.Lead(1, nil, map[string]string{}, last, &trunk.Roll{Stamp: 1})
+			s.m.Lead(1, nil, map[string]string{}, last, &trunk.Membership{Version: 1})
 		})
 		s.hello()
 		pass(3 * time.Second)
@@ -104,12 +104,12 @@
 			qt.Assert(t, err, qt.IsNil)
 			now, err := dialplan.Read(config(4+i, 400, 3+float64(i)))
 			qt.Assert(t, err, qt.IsNil)
-			last = &trunk.Config{Stamp: now.Stamp, Packed: trunk.Pack(now.Write()), Steps: append(last.Steps, &trunk.Step{Base: old.Stamp, Stamp: now.Stamp, Patch: trunk.Pack(now.Since(old))})}
+			last = &trunk.Config{Version: now.Version, Packed: trunk.Pack(now.Write()), Steps: append(last.Steps, &trunk.Step{Base: old.Version, Version: now.Version, Patch: trunk.Pack(now.Since(old))})}
 			if i == 4 {
 				// Another master, which has never led, knows the way from the control state.
 				s.do(s.m.Step)
 				s.m.conf, s.m.packed, s.m.steps = 0, nil, nil
-				s.do(func() { s.m.Lead(2, s.st.v, map[string]string{}, last, &trunk.Roll{Stamp: 1}) })
+				s.do(func() { s.m.Lead(2, s.st.v, map[string]string{}, last, &trunk.Membership{Version: 1}) })
 			} else {
 				s.do(func() { s.m.SetConfig(last) })
 			}
@@ -118,7 +118,7 @@
 		qt.Assert(t, e.wholes, qt.Equals, 1)
 		qt.Assert(t, e.steps, qt.Equals, 5)
 		qt.Assert(t, e.bytes < whole/2, qt.IsTrue)
-		qt.Assert(t, doc.Stamp, qt.Equals, uint64(8))
+		qt.Assert(t, doc.Version, qt.Equals, uint64(8))
 		got := dialplan.Compile(doc).Find("a", "/p7/x")
 		qt.Assert(t, got.Timeout, qt.Equals, 7*time.Second)
 
@@ -133,7 +133,7 @@
 		e.mu.Lock()
 		e.drop = true
 		e.mu.Unlock()
-		// An answer that got lost leaves the master with an older stamp; the node
+		// An answer that got lost leaves the master with an older version; the node
 		// then says which one it holds, and gets the difference from that.
 		s.ns[5].agent.Set(func(n *trunk.NodeState) { n.Endpoint.Slots++ })
 		pass(1600 * time.Millisecond)
@@ -153,7 +153,7 @@
 		for _, v := range e.views[n:] {
 			qt.Assert(t, v.Base > 0, qt.IsTrue, qt.Commentf("a whole view was sent"))
 		}
-		qt.Assert(t, a.View().Stamp, qt.Equals, s.st.v.Stamp)
+		qt.Assert(t, a.View().Version, qt.Equals, s.st.v.Version)
 		e.mu.Lock()
 		e.drop = true
 		e.mu.Unlock()
@@ -169,6 +169,6 @@
 		qt.Assert(t, e.views[len(e.views)-1].Base, qt.Equals, uint64(0), qt.Commentf("whole on a gap"))
 		s.ns[0].mu.Lock()
 		defer s.ns[0].mu.Unlock()
-		qt.Assert(t, a.View().Stamp, qt.Equals, s.st.v.Stamp)
+		qt.Assert(t, a.View().Version, qt.Equals, s.st.v.Version)
 	})
 }
--- a/internal/supervisor/grey.go
+++ b/internal/supervisor/grey.go
@@ -52,7 +52,7 @@
 				out, copied = slices.Clone(es), true
 			}
 			e := es[i]
-			out[i] = &trunk.Endpoint{Id: e.Id, Service: e.Service, Addr: e.Addr, Site: e.Site, Slots: e.Slots, State: e.State, ColdMs: e.ColdMs,
+			out[i] = &trunk.Endpoint{Id: e.Id, Service: e.Service, Addr: e.Addr, Zone: e.Zone, Slots: e.Slots, State: e.State, ColdMs: e.ColdMs,
 				Release: e.Release, Node: e.Node, Inbound: e.Inbound, Sound: e.Sound, Ill: e.Ill, Grey: true}
 		}
 	}
--- a/internal/supervisor/hot_test.go
+++ b/internal/supervisor/hot_test.go
@@ -72,12 +72,12 @@
 	h := NewHotKeys(hotRules)
 	es := endpointsOf(10)
 	was, _ := h.Judge(slices.Values(told(100, 7, 4)), es, 0, 0)
-	view := &trunk.View{Epoch: 1, Stamp: 3, Hot: was}
-	b, err := proto.Marshal(view.Since(&trunk.View{Epoch: 1, Stamp: 2}))
+	view := &trunk.View{Epoch: 1, Version: 3, Hot: was}
+	b, err := proto.Marshal(view.Since(&trunk.View{Epoch: 1, Version: 2}))
 	qt.Assert(t, err, qt.IsNil)
 	d := &trunk.View{}
 	qt.Assert(t, proto.Unmarshal(b, d), qt.IsNil)
-	kept := d.Onto(&trunk.View{Epoch: 1, Stamp: 2, Hot: told7(1)})
+	kept := d.Onto(&trunk.View{Epoch: 1, Version: 2, Hot: told7(1)})
 	n := NewHotKeys(hotRules)
 	n.Load(kept.Hot, 10*time.Second)
 	// Nobody has told it anything yet.
--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -37,14 +37,14 @@
 	Now        func() time.Duration
 	// Held tells whether shard 0 is held right now; a master that is not sure
 	// of it says nothing to anybody.
-	Held func() bool
+	Leased func() bool
 	// Reached tells whether another member is in touch; one that is not brings
 	// nothing to any node.
 	Reached func(addr string) bool
 	// Bundle gives what this member holds of what is kept.
 	Bundle func(*trunk.Kept) Bundle
 	Note   func(f string, a ...any)
-	Trace  func(what string, epoch, stamp uint64)
+	Trace  func(what string, epoch, version uint64)
 }
 
 func (o Options) rules() rules { return rules{o.Window, o.Crashes, o.Fails, o.Silent} }
@@ -56,14 +56,14 @@
 	lines *trunk.Lines
 	store Store
 
-	leading bool
-	paused  bool
-	epoch   uint64
-	since   time.Duration
-	hs      map[string]*history
-	users   map[string]string
-	polls   map[string]context.CancelFunc
-	roll    *trunk.Roll
+	leading    bool
+	paused     bool
+	epoch      uint64
+	since      time.Duration
+	hs         map[string]*history
+	users      map[string]string
+	polls      map[string]context.CancelFunc
+	membership *trunk.Membership
 
 	listed  []*trunk.Endpoint
 	ills    verdicts
@@ -117,23 +117,23 @@
 	}
 }
 
-func (m *Master) trace(what string, stamp uint64) {
+func (m *Master) trace(what string, version uint64) {
 	if m.o.Trace != nil {
-		m.o.Trace(what, m.epoch, stamp)
+		m.o.Trace(what, m.epoch, version)
 	}
 }
 
 // Lead makes this process the master under the epoch of shard 0, which also
 // keeps the last view that was published.
-func (m *Master) Lead(epoch uint64, kept *trunk.View, users map[string]string, conf *trunk.Config, roll *trunk.Roll) {
+func (m *Master) Lead(epoch uint64, kept *trunk.View, users map[string]string, conf *trunk.Config, membership *trunk.Membership) {
 	now := m.o.Now()
-	if kept.GetStamp() > m.view.Stamp {
+	if kept.GetVersion() > m.view.Version {
 		m.view = kept
 	}
-	m.note("master under epoch %d, view %d, configuration %d", epoch, m.view.Stamp, conf.GetStamp())
+	m.note("master under epoch %d, view %d, configuration %d", epoch, m.view.Version, conf.GetVersion())
 	m.paused = false
 	m.leading, m.epoch, m.since, m.made, m.changed = true, epoch, now, now, now
-	m.users, m.roll = users, roll
+	m.users, m.membership = users, membership
 	v := m.view
 	m.making = false
 	m.sends, m.views, m.packs = map[string]*courier{}, nil, nil
@@ -147,7 +147,7 @@
 		}
 		if h := m.hs[e.Node]; h == nil {
 			m.hs[e.Node] = &history{state: &trunk.NodeState{Name: e.Node, Addr: "", Inbound: e.Inbound, Endpoint: &trunk.Endpoint{
-				Id: e.Id, Service: e.Service, Addr: e.Addr, Site: e.Site, Slots: e.Slots, State: back(e.State), Sound: true, Release: e.Release}},
+				Id: e.Id, Service: e.Service, Addr: e.Addr, Zone: e.Zone, Slots: e.Slots, State: back(e.State), Sound: true, Release: e.Release}},
 				seen: now, reached: true, endpoint: e.Id, last: e}
 		} else {
 			h.seen, h.fails, h.reached = now, 0, true
@@ -203,7 +203,7 @@
 
 func (m *Master) Leading() bool { return m.leading }
 
-func (m *Master) SetRoll(r *trunk.Roll) { m.roll = r }
+func (m *Master) SetMembership(r *trunk.Membership) { m.membership = r }
 
 // SetUsers takes all user states; the node just set to up starts with a clean
 // history.
@@ -233,7 +233,7 @@
 	var out []*trunk.NodeLine
 	for n, h := range m.hs {
 		e := h.state.GetEndpoint()
-		l := &trunk.NodeLine{Name: n, Addr: h.state.GetAddr(), Site: h.state.GetSite(), Service: h.state.GetService(), Endpoint: e.GetId(),
+		l := &trunk.NodeLine{Name: n, Addr: h.state.GetAddr(), Zone: h.state.GetZone(), Service: h.state.GetService(), Endpoint: e.GetId(),
 			Reported: e.GetState(), Official: h.official(m.users[n]), User: m.users[n], Slots: e.GetSlots(), Reached: h.reached}
 		switch {
 		case !h.reached:
@@ -259,8 +259,8 @@
 
 // SetConfig hands a newly committed configuration to all nodes at once.
 func (m *Master) SetConfig(c *trunk.Config) {
-	if c.GetStamp() > m.conf {
-		m.conf, m.packed, m.steps = c.Stamp, c.Packed, c.Steps
+	if c.GetVersion() > m.conf {
+		m.conf, m.packed, m.steps = c.Version, c.Packed, c.Steps
 	}
 	if !m.leading {
 		return
@@ -270,7 +270,7 @@
 	}
 }
 
-// way gives the patches from a stamp to the configuration in force.
+// way gives the patches from a version to the configuration in force.
 func (m *Master) way(from uint64) [][]byte {
 	var out [][]byte
 	size := 0
@@ -286,7 +286,7 @@
 	return out
 }
 
-// Config is the stamp of the configuration in force.
+// Config is the version of the configuration in force.
 func (m *Master) Config() uint64 { return m.conf }
 
 func (m *Master) View() *trunk.View { return m.view }
@@ -348,12 +348,12 @@
 	return max(m.o.Linger, min(time.Duration(len(m.hs))*m.o.LingerPer, m.o.LingerMost))
 }
 
-// sure stops all polls while the hold on shard 0 is not certain, so that the
+// sure stops all polls while the lease of shard 0 is not certain, so that the
 // nodes look for another master, and takes them up again after.
 func (m *Master) sure() bool {
-	ok := m.o.Held == nil || m.o.Held()
+	ok := m.o.Leased == nil || m.o.Leased()
 	if m.leading && !ok && !m.paused {
-		m.note("hold on shard 0 is not certain; silent")
+		m.note("the lease of shard 0 is not certain; silent")
 		m.paused = true
 		for n, stop := range m.polls {
 			stop()
@@ -532,10 +532,10 @@
 	if m.dirty {
 		return
 	}
-	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && sameWidths(m.hot, m.view.Hot) && m.view.Roll.GetStamp() == m.roll.GetStamp() && len(m.view.NodeLines) == len(m.hs) {
+	if m.view.Epoch == m.epoch && !matters(m.inner, m.view.Endpoints) && sameWidths(m.hot, m.view.Hot) && m.view.Membership.GetVersion() == m.membership.GetVersion() && len(m.view.NodeLines) == len(m.hs) {
 		return
 	}
-	v := &trunk.View{Epoch: m.epoch, Stamp: m.view.Stamp + 1, Endpoints: m.inner, Roll: m.roll, ConfigStamp: m.conf, Master: m.o.Me, Hot: m.hot}
+	v := &trunk.View{Epoch: m.epoch, Version: m.view.Version + 1, Endpoints: m.inner, Membership: m.membership, ConfigVersion: m.conf, Master: m.o.Me, Hot: m.hot}
 	for n, h := range m.hs {
 		v.NodeLines = append(v.NodeLines, n+" "+h.state.GetAddr())
 	}
@@ -591,7 +591,7 @@
 
 func (m *Master) publish(v *trunk.View) {
 	m.view, m.made = v, m.o.Now()
-	m.trace("published", v.Stamp)
+	m.trace("published", v.Version)
 	m.views = append(m.views, v)
 	if len(m.views) > keepViews {
 		m.views = append([]*trunk.View(nil), m.views[1:]...)
@@ -603,12 +603,12 @@
 
 // pack marshals the view in force once for all nodes that hold the same one.
 func (m *Master) pack(has uint64) []byte {
-	if m.packsOf != m.view.Stamp || m.packs == nil || m.packsIn != m.view.Epoch {
-		m.packs, m.packsOf, m.packsIn = map[uint64][]byte{}, m.view.Stamp, m.view.Epoch
+	if m.packsOf != m.view.Version || m.packs == nil || m.packsIn != m.view.Epoch {
+		m.packs, m.packsOf, m.packsIn = map[uint64][]byte{}, m.view.Version, m.view.Epoch
 	}
 	if has > 0 {
 		for _, o := range m.views {
-			if o.Stamp == has && o.Epoch == m.epoch {
+			if o.Version == has && o.Epoch == m.epoch {
 				if m.packs[has] == nil {
 					m.packs[has], _ = proto.Marshal(m.view.Since(o))
 				}
@@ -653,10 +653,10 @@
 		c = &courier{life: n.Life}
 		m.sends[name] = c
 	}
-	c.conf = max(c.conf, n.ConfigStamp)
-	c.bare = n.ViewStamp == 0
+	c.conf = max(c.conf, n.ConfigVersion)
+	c.bare = n.ViewVersion == 0
 	if n.ViewEpoch == m.epoch {
-		c.view = max(c.view, n.ViewStamp)
+		c.view = max(c.view, n.ViewVersion)
 	}
 }
 
@@ -670,12 +670,12 @@
 	// Until this master has made a view, nodes keep the last one; one that has
 	// none, since it has just started, is given that.
 	kept := m.view.Epoch != m.epoch
-	if kept && !c.bare || m.view.Stamp == 0 || c.busy || c.view >= m.view.Stamp || h.state.GetAddr() == "" {
+	if kept && !c.bare || m.view.Version == 0 || c.busy || c.view >= m.view.Version || h.state.GetAddr() == "" {
 		return
 	}
 	c.busy = true
-	stamp, ep, has := m.view.Stamp, m.epoch, c.view
-	key := fmt.Sprint("view ", has, " ", m.view.Epoch, " ", stamp)
+	version, ep, has := m.view.Version, m.epoch, c.view
+	key := fmt.Sprint("view ", has, " ", m.view.Epoch, " ", version)
 	m.send(key, &trunk.RelayReq{View: &trunk.ViewReq{Epoch: ep, Packed: m.pack(has)}}, &trunk.RelayTo{Name: name, Addr: h.state.Addr}, func(a *trunk.RelayAck) {
 		c.busy = false
 		r := a.GetView()
@@ -683,7 +683,7 @@
 			return
 		}
 		if r.Ok {
-			c.view, c.bare = max(c.view, stamp), false
+			c.view, c.bare = max(c.view, version), false
 			if m.leading {
 				m.follow(name, h)
 			}
@@ -693,7 +693,7 @@
 		// stand on.
 		c.view = 0
 		if r.Epoch == ep {
-			c.view = r.Stamp
+			c.view = r.Version
 		}
 	})
 }
@@ -717,7 +717,7 @@
 		return
 	}
 	c.cbusy = true
-	q := &trunk.DeliverReq{Epoch: m.epoch, Stamp: m.conf}
+	q := &trunk.DeliverReq{Epoch: m.epoch, Version: m.conf}
 	if c.conf > 0 && !c.whole {
 		if q.Patches = m.way(c.conf); q.Patches != nil {
 			q.Base = c.conf
@@ -730,7 +730,7 @@
 	if q.Base == 0 {
 		q.Data = m.packed
 	}
-	key := fmt.Sprint("config ", q.Base, " ", q.Stamp, " ", len(q.Patches), " ", len(q.Data) > 0)
+	key := fmt.Sprint("config ", q.Base, " ", q.Version, " ", len(q.Patches), " ", len(q.Data) > 0)
 	m.send(key, &trunk.RelayReq{Config: q}, &trunk.RelayTo{Name: name, Addr: h.state.Addr}, func(a *trunk.RelayAck) {
 		c.cbusy = false
 		r := a.GetConfig()
@@ -738,8 +738,8 @@
 			c.again = m.o.Now() + 100*time.Millisecond
 			return
 		}
-		c.conf = max(c.conf, r.Stamp)
-		c.whole = !r.Ok && (r.Stamp == 0 || r.Stamp == q.Base || q.Base == 0)
+		c.conf = max(c.conf, r.Version)
+		c.whole = !r.Ok && (r.Version == 0 || r.Version == q.Base || q.Base == 0)
 		if !r.Ok {
 			c.again = m.o.Now() + 50*time.Millisecond
 		}
--- a/internal/supervisor/merge.go
+++ b/internal/supervisor/merge.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		e := h.state.Endpoint
-		out = append(out, &trunk.Endpoint{Id: e.Id, Service: e.Service, Addr: e.Addr, Site: e.Site, Slots: e.Slots, State: s,
+		out = append(out, &trunk.Endpoint{Id: e.Id, Service: e.Service, Addr: e.Addr, Zone: e.Zone, Slots: e.Slots, State: s,
 			ColdMs: e.ColdMs, Release: e.Release, Node: n, Inbound: h.state.Inbound, Sound: e.Sound, Ill: e.Ill})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Id < out[j].Id })
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -81,7 +81,7 @@
 		if c.Base == 0 {
 			wait *= 2
 		}
-		a.Config, err = trunk.Call(wait, n.Deliver, &trunk.DeliverReq{Epoch: c.Epoch, Stamp: c.Stamp, Data: c.Data, To: to.Name, Base: c.Base, Patches: c.Patches})
+		a.Config, err = trunk.Call(wait, n.Deliver, &trunk.DeliverReq{Epoch: c.Epoch, Version: c.Version, Data: c.Data, To: to.Name, Base: c.Base, Patches: c.Patches})
 	}
 	if err != nil {
 		return nil
@@ -96,16 +96,16 @@
 	if s == nil || k == nil {
 		return
 	}
-	if s.ConfigStamp == 0 && x.Config != nil {
-		r, err := trunk.Call(2*relayMost, n.Deliver, &trunk.DeliverReq{Epoch: q.Poll.Epoch, Stamp: k.Config, Data: x.Config, To: to.Name})
+	if s.ConfigVersion == 0 && x.Config != nil {
+		r, err := trunk.Call(2*relayMost, n.Deliver, &trunk.DeliverReq{Epoch: q.Poll.Epoch, Version: k.Config, Data: x.Config, To: to.Name})
 		if err == nil && r.Ok {
-			s.ConfigStamp = r.Stamp
+			s.ConfigVersion = r.Version
 		}
 	}
-	if s.ViewStamp == 0 && x.View != nil {
+	if s.ViewVersion == 0 && x.View != nil {
 		r, err := trunk.Call(relayMost, n.Publish, &trunk.ViewReq{To: to.Name, Packed: x.View, Epoch: q.Poll.Epoch})
 		if err == nil && r.Ok {
-			s.ViewEpoch, s.ViewStamp = r.Epoch, r.Stamp
+			s.ViewEpoch, s.ViewVersion = r.Epoch, r.Version
 		}
 	}
 }
@@ -148,7 +148,7 @@
 func (m *Master) relays() []string {
 	var out []string
 	now := m.o.Now()
-	for _, x := range m.roll.GetMembers() {
+	for _, x := range m.membership.GetMembers() {
 		if x.Addr != m.o.Me && now >= m.shunned[x.Addr] && (m.o.Reached == nil || m.o.Reached(x.Addr)) && len(out) < mostRelays {
 			out = append(out, x.Addr)
 		}
--- a/internal/supervisor/relay_test.go
+++ b/internal/supervisor/relay_test.go
@@ -48,9 +48,9 @@
 }
 
 // crowd is a stage with relays; far makes nodes out of the relays' reach.
-func crowd(t *testing.T, nodes, relays int) (*stage, []*relayer, *trunk.Roll) {
+func crowd(t *testing.T, nodes, relays int) (*stage, []*relayer, *trunk.Membership) {
 	s := newStage(t, nodes)
-	roll := &trunk.Roll{Stamp: 1, Members: []*trunk.Member{{Id: "m", Addr: "m"}}}
+	membership := &trunk.Membership{Version: 1, Members: []*trunk.Member{{Id: "m", Addr: "m"}}}
 	var rs []*relayer
 	lines := trunk.NewLines(&http.Client{Transport: deadEnd{}})
 	for i, n := range s.ns {
@@ -60,14 +60,14 @@
 		r := &relayer{lines: lines}
 		a := fmt.Sprint("core", i)
 		s.m.lines.PutControl(a, r)
-		roll.Members = append(roll.Members, &trunk.Member{Id: a, Addr: a})
+		membership.Members = append(membership.Members, &trunk.Member{Id: a, Addr: a})
 		rs = append(rs, r)
 	}
-	return s, rs, roll
+	return s, rs, membership
 }
 
 func keptOf(n int) *trunk.View {
-	v := &trunk.View{Epoch: 1, Stamp: 9}
+	v := &trunk.View{Epoch: 1, Version: 9}
 	for i := range n {
 		v.NodeLines = append(v.NodeLines, fmt.Sprintf("n%d a%d", i, i))
 	}
@@ -92,10 +92,10 @@
 
 func TestTakeoverReachesAllNodesThroughRelays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, rs, roll := crowd(t, 120, 5)
+		s, rs, membership := crowd(t, 120, 5)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
-		s.do(func() { s.m.Lead(2, keptOf(120), map[string]string{}, conf(5, "d"), roll) })
+		s.do(func() { s.m.Lead(2, keptOf(120), map[string]string{}, conf(5, "d"), membership) })
 		pass(600 * time.Millisecond)
 		s.all(t, 5)
 		total := 0
@@ -108,7 +108,7 @@
 		// A changed configuration is one call for each relay.
 		was := rs[0].asked
 		s.do(func() {
-			s.m.SetConfig(&trunk.Config{Stamp: 6, Packed: trunk.Pack([]byte("e")), Steps: []*trunk.Step{{Base: 5, Stamp: 6, Patch: trunk.Pack([]byte("p"))}}})
+			s.m.SetConfig(&trunk.Config{Version: 6, Packed: trunk.Pack([]byte("e")), Steps: []*trunk.Step{{Base: 5, Version: 6, Patch: trunk.Pack([]byte("p"))}}})
 		})
 		pass(100 * time.Millisecond)
 		s.all(t, 6)
@@ -119,12 +119,12 @@
 // What the board has not heard of within a lease is asked to bring nothing.
 func TestMemberOutOfTouchIsNoRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, rs, roll := crowd(t, 60, 3)
+		s, rs, membership := crowd(t, 60, 3)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
 		rs[0].down = true
 		s.m.o.Reached = func(a string) bool { return a != "core0" }
-		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), roll) })
+		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), membership) })
 		pass(time.Second)
 		s.all(t, 5)
 		s.do(func() { s.m.SetConfig(conf(6, "e")) })
@@ -136,12 +136,12 @@
 
 func TestRelayThatIsSilentOrCutOffIsGoneRound(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, rs, roll := crowd(t, 60, 3)
+		s, rs, membership := crowd(t, 60, 3)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
 		rs[0].down = true
 		rs[1].lines = trunk.NewLines(&http.Client{Transport: deadEnd{}})
-		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), roll) })
+		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), membership) })
 		pass(4 * time.Second)
 		s.all(t, 5)
 		was := rs[0].asked
@@ -154,13 +154,13 @@
 
 func TestNothingIsSentOrRelayedWithoutTheLease(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, rs, roll := crowd(t, 40, 2)
+		s, rs, membership := crowd(t, 40, 2)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
 		held := true
 		s.do(func() {
-			s.m.o.Held = func() bool { return held }
-			s.m.Lead(2, keptOf(40), map[string]string{}, conf(5, "d"), roll)
+			s.m.o.Leased = func() bool { return held }
+			s.m.Lead(2, keptOf(40), map[string]string{}, conf(5, "d"), membership)
 		})
 		pass(time.Second)
 		s.all(t, 5)
@@ -180,10 +180,10 @@
 
 func TestDeadNodesDoNotHoldUpTheOthersOfTheirRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _, roll := crowd(t, 60, 2)
+		s, _, membership := crowd(t, 60, 2)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
-		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), roll) })
+		s.do(func() { s.m.Lead(2, keptOf(60), map[string]string{}, conf(5, "d"), membership) })
 		pass(time.Second)
 		for i := range 12 {
 			s.ns[5*i].set(true)
@@ -251,22 +251,22 @@
 // A node that has a view keeps it till then.
 func TestNodesWithoutAViewGetTheLastOneAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, _, roll := crowd(t, 60, 3)
+		s, _, membership := crowd(t, 60, 3)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
 		v := keptOf(60)
 		v.Endpoints = []*trunk.Endpoint{{Id: "e0", Service: "s", State: Up, Node: "n0", Inbound: "i0"}}
 		has := s.ns[7].agent
-		qt.Assert(t, has.take(&trunk.View{Epoch: 1, Stamp: 8}, 1, ""), qt.IsTrue)
+		qt.Assert(t, has.take(&trunk.View{Epoch: 1, Version: 8}, 1, ""), qt.IsTrue)
 		s.m.o.Transition = 5 * time.Second
-		s.do(func() { s.m.Lead(2, v, map[string]string{}, conf(5, "d"), roll) })
+		s.do(func() { s.m.Lead(2, v, map[string]string{}, conf(5, "d"), membership) })
 		pass(400 * time.Millisecond)
 		for i, f := range s.ns {
 			want := uint64(9)
 			if i == 7 {
 				want = 8
 			}
-			qt.Check(t, f.agent.View().GetStamp(), qt.Equals, want, qt.Commentf("node %d", i))
+			qt.Check(t, f.agent.View().GetVersion(), qt.Equals, want, qt.Commentf("node %d", i))
 			qt.Check(t, f.agent.Config(), qt.Equals, uint64(5), qt.Commentf("node %d", i))
 		}
 		pass(6 * time.Second)
@@ -274,7 +274,7 @@
 			qt.Check(t, f.agent.View().GetEpoch(), qt.Equals, uint64(2))
 		}
 		late := s.ns[3].agent
-		qt.Assert(t, late.take(&trunk.View{Epoch: 1, Stamp: 99}, 1, ""), qt.IsFalse, qt.Commentf("from a master before"))
-		qt.Assert(t, late.take(&trunk.View{Epoch: 1, Stamp: 99}, 2, ""), qt.IsFalse, qt.Commentf("older than what it has"))
+		qt.Assert(t, late.take(&trunk.View{Epoch: 1, Version: 99}, 1, ""), qt.IsFalse, qt.Commentf("from a master before"))
+		qt.Assert(t, late.take(&trunk.View{Epoch: 1, Version: 99}, 2, ""), qt.IsFalse, qt.Commentf("older than what it has"))
 	})
 }
--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -140,7 +140,7 @@
 		a := &Agent{Name: fmt.Sprint("n", i), Life: "l", Quiet: time.Second, Now: now, Note: func(string, ...any) {}, Lines: lines}
 		a.OnView = func(v *trunk.View) {
 			f.mu.Lock()
-			f.views = append(f.views, v.Stamp)
+			f.views = append(f.views, v.Version)
 			s.last[i] = v.Endpoints
 			if i == 0 {
 				s.sizes = append(s.sizes, len(v.Endpoints))
@@ -164,8 +164,8 @@
 	return s
 }
 
-func conf(stamp uint64, doc string) *trunk.Config {
-	return &trunk.Config{Stamp: stamp, Packed: trunk.Pack([]byte(doc))}
+func conf(version uint64, doc string) *trunk.Config {
+	return &trunk.Config{Version: version, Packed: trunk.Pack([]byte(doc))}
 }
 
 func (s *stage) do(f func()) {
@@ -192,17 +192,17 @@
 		s := newStage(t, 4)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
-		s.do(func() { s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Roll{Stamp: 1}) })
+		s.do(func() { s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Membership{Version: 1}) })
 		s.hello()
 		pass(2 * time.Second)
 		qt.Assert(t, s.count(0), qt.Equals, 4)
 		qt.Assert(t, s.ns[0].confs, qt.DeepEquals, []uint64{3})
-		before := s.st.v.Stamp
+		before := s.st.v.Version
 		for _, f := range s.ns[1:] {
 			f.agent.Set(func(n *trunk.NodeState) { n.Endpoint.State = "draining" })
 		}
 		pass(time.Second)
-		qt.Assert(t, s.st.v.Stamp, qt.Equals, before+1)
+		qt.Assert(t, s.st.v.Version, qt.Equals, before+1)
 		s.do(func() { s.m.SetUsers(map[string]string{"n0": Down}, "n0") })
 		pass(time.Second)
 		qt.Assert(t, s.count(0), qt.Equals, 3)
@@ -214,7 +214,7 @@
 		s := newStage(t, 3)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
-		s.do(func() { s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Roll{Stamp: 1}) })
+		s.do(func() { s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Membership{Version: 1}) })
 		s.hello()
 		pass(2 * time.Second)
 		for _, f := range s.ns {
@@ -229,7 +229,7 @@
 		s.ns[0].mu.Lock()
 		s.sizes = nil
 		s.ns[0].mu.Unlock()
-		s.do(func() { s.m.Lead(2, kept, map[string]string{}, conf(5, "d"), &trunk.Roll{Stamp: 1}) })
+		s.do(func() { s.m.Lead(2, kept, map[string]string{}, conf(5, "d"), &trunk.Membership{Version: 1}) })
 		s.hello()
 		pass(1500 * time.Millisecond)
 		for i, f := range s.ns {
@@ -247,23 +247,23 @@
 		s := newStage(t, 3)
 		defer s.m.Loop.Close()
 		defer s.do(s.m.Step)
-		kept := &trunk.View{Epoch: 1, Stamp: 9, NodeLines: []string{"n0 a0", "n1 a1", "n2 a2"}}
-		s.do(func() { s.m.Lead(2, kept, map[string]string{}, conf(5, "d"), &trunk.Roll{Stamp: 1}) })
+		kept := &trunk.View{Epoch: 1, Version: 9, NodeLines: []string{"n0 a0", "n1 a1", "n2 a2"}}
+		s.do(func() { s.m.Lead(2, kept, map[string]string{}, conf(5, "d"), &trunk.Membership{Version: 1}) })
 		pass(600 * time.Millisecond)
-		qt.Assert(t, s.st.v.Stamp > 9, qt.IsTrue)
+		qt.Assert(t, s.st.v.Version > 9, qt.IsTrue)
 		qt.Assert(t, s.count(1), qt.Equals, 3)
 		qt.Assert(t, s.ns[2].confs, qt.DeepEquals, []uint64{5})
 	})
 }
 
-func TestNodesRefuseALowerEpochAndAnOlderStamp(t *testing.T) {
+func TestNodesRefuseALowerEpochAndAnOlderVersion(t *testing.T) {
 	got := 0
 	a := &Agent{Name: "n", Life: "l", Now: func() time.Duration { return 0 }, Note: func(string, ...any) {},
 		OnView: func(*trunk.View) { got++ }, OnConfig: func(uint64, []byte) error { return nil }}
 	a.Start(&trunk.NodeState{Name: "n"})
 	c := context.Background()
 	pub := func(e, s uint64) bool {
-		b, _ := proto.Marshal(&trunk.View{Epoch: e, Stamp: s})
+		b, _ := proto.Marshal(&trunk.View{Epoch: e, Version: s})
 		r, _ := a.Publish(c, &trunk.ViewReq{Packed: b})
 		return r.Ok
 	}
@@ -276,9 +276,9 @@
 	r, _ := a.Poll(c, &trunk.PollReq{Epoch: 2, Name: "n"})
 	qt.Assert(t, r.Stale, qt.IsTrue)
 	qt.Assert(t, r.Epoch, qt.Equals, uint64(3))
-	a.Deliver(c, &trunk.DeliverReq{Epoch: 3, Stamp: 8, Data: trunk.Pack(nil)})
-	d, _ := a.Deliver(c, &trunk.DeliverReq{Epoch: 3, Stamp: 7, Data: trunk.Pack(nil)})
-	qt.Assert(t, d.Stamp, qt.Equals, uint64(8))
+	a.Deliver(c, &trunk.DeliverReq{Epoch: 3, Version: 8, Data: trunk.Pack(nil)})
+	d, _ := a.Deliver(c, &trunk.DeliverReq{Epoch: 3, Version: 7, Data: trunk.Pack(nil)})
+	qt.Assert(t, d.Version, qt.Equals, uint64(8))
 }
 
 func TestMasterWithoutItsHoldLetsItsNodesGo(t *testing.T) {
@@ -288,8 +288,8 @@
 		defer s.do(s.m.Step)
 		held := true
 		s.do(func() {
-			s.m.o.Held = func() bool { return held }
-			s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Roll{Stamp: 1})
+			s.m.o.Leased = func() bool { return held }
+			s.m.Lead(1, nil, map[string]string{}, conf(3, "c"), &trunk.Membership{Version: 1})
 		})
 		s.hello()
 		pass(2 * time.Second)
--- a/internal/switchboard/answers_test.go
+++ b/internal/switchboard/answers_test.go
@@ -184,10 +184,10 @@
 func newStage(t *testing.T, hop string, n, attempts int, f fault) *stage {
 	s := &stage{h: &hall{ls: map[string]*pipes{}}, log: &runLog{ran: map[string][]string{}, body: map[string]string{}}, f: f,
 		bud: NewBudget(0, 400, 10*time.Second, func() int { return 1 }, grownUp())}
-	v := &trunk.View{Stamp: 1, Nodes: 1}
+	v := &trunk.View{Version: 1, Nodes: 1}
 	for i := range n {
 		id, app, in := fmt.Sprint("e", i), fmt.Sprint("app", i), fmt.Sprint("in", i)
-		e := &trunk.Endpoint{Id: id, Service: "s", Site: "z", Slots: 4, State: "up"}
+		e := &trunk.Endpoint{Id: id, Service: "s", Zone: "z", Slots: 4, State: "up"}
 		switch hop {
 		case "edge to endpoint":
 			e.Addr = app
@@ -569,9 +569,9 @@
 
 func TestMovedSessionsArrivalsCountOn(t *testing.T) {
 	pools := NewPools("z", 1, 1)
-	v := &trunk.View{Stamp: 1, Nodes: 1}
+	v := &trunk.View{Version: 1, Nodes: 1}
 	for i := range 4 {
-		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", Addr: "a", Site: "z", Slots: 4, State: "up"})
+		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", Addr: "a", Zone: "z", Slots: 4, State: "up"})
 	}
 	pools.Set(v)
 	bud := NewBudget(0, 2, 10*time.Second, func() int { return 1 }, grownUp())
--- a/internal/switchboard/budget.go
+++ b/internal/switchboard/budget.go
@@ -18,7 +18,7 @@
 
 // Budget pays for second arrivals at endpoints, service by service. A node
 // spends at most its share of the slack and of what its own requests of the
-// last window allow, so that the sum over all nodes stays under the site's
+// last window allow, so that the sum over all nodes stays under the zone's
 // bound whatever their number; half of both is left for repeats that others
 // cause and for nodes that come and go. A node that has just started grows into
 // its share over one window.
--- a/internal/switchboard/direct_test.go
+++ b/internal/switchboard/direct_test.go
@@ -18,14 +18,14 @@
 
 func newGate(t *testing.T, n int, patience func(*Outbound)) *mesh {
 	m := &mesh{h: &hall{ls: map[string]*pipes{}}, bud: NewBudget(0, 200, 10*time.Second, func() int { return 1 }, grownUp())}
-	v := &trunk.View{Stamp: 1, Nodes: 1}
+	v := &trunk.View{Version: 1, Nodes: 1}
 	for i := range n {
 		e := &endpoint{id: fmt.Sprint("e", i)}
 		e.act = func(w io.Writer, r *http.Request, b []byte) {
 			io.WriteString(w, whole(r.Header.Get(hdrID), "seal", e.id))
 		}
 		go e.serve(m.h.listen(fmt.Sprint("app", i)))
-		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: e.id, Service: "s", Addr: fmt.Sprint("app", i), Site: "z", Slots: 2, State: "up"})
+		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: e.id, Service: "s", Addr: fmt.Sprint("app", i), Zone: "z", Slots: 2, State: "up"})
 		m.eps = append(m.eps, e)
 	}
 	pools := NewPools("z", 1, 1).Prefer("n", 8)
--- a/internal/switchboard/hot.go
+++ b/internal/switchboard/hot.go
@@ -117,7 +117,7 @@
 			continue
 		}
 		if r := h.copies[i]; fit(r) {
-			s := r.score(p.site, far, usual, w.heavy, now) * (1 + 0.1*p.draw())
+			s := r.score(p.zone, far, usual, w.heavy, now) * (1 + 0.1*p.draw())
 			if s < bs {
 				best, bs = r, s
 			}
--- a/internal/switchboard/hot_test.go
+++ b/internal/switchboard/hot_test.go
@@ -11,12 +11,12 @@
 	"corkcove/internal/trunk"
 )
 
-func hotView(stamp uint64, key uint64, width uint32, gone string) *trunk.View {
-	v := &trunk.View{Epoch: 1, Stamp: stamp, Nodes: 1}
+func hotView(version uint64, key uint64, width uint32, gone string) *trunk.View {
+	v := &trunk.View{Epoch: 1, Version: version, Nodes: 1}
 	for i := range 6 {
 		id := fmt.Sprint("e", i)
 		if id != gone {
-			v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: id, Service: "s", Inbound: "in-" + id, Node: "n-" + id, Site: "z", Slots: 4, State: "up"})
+			v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: id, Service: "s", Inbound: "in-" + id, Node: "n-" + id, Zone: "z", Slots: 4, State: "up"})
 		}
 	}
 	if width > 1 {
--- a/internal/switchboard/plug.go
+++ b/internal/switchboard/plug.go
@@ -111,7 +111,7 @@
 	q := cord.Ask{Key: t.pinned, Allowed: allowed, Service: service, Before: t.b.pasts.of(t.route, allowed)}
 	for {
 		p := t.b.o.Cords.Find(t.ctx, q, t.b.o.Pools)
-		if p.State != cord.Hold {
+		if p.State != cord.Lease {
 			t.to, t.only, t.wait = p.Service, p.Endpoint, 0
 			return false
 		}
--- a/internal/switchboard/pool.go
+++ b/internal/switchboard/pool.go
@@ -23,7 +23,7 @@
 	node    string
 	inbound string
 	addr    string
-	site    string
+	zone    string
 	slots   int64
 	up      bool
 	cold    bool
@@ -33,7 +33,7 @@
 	*gauge
 }
 
-// area is how full the endpoints of a service in one site were, and their
+// area is how full the endpoints of a service in one zone were, and their
 // machines' links, over the last answers from any of them.
 type area struct{ slots, links mean }
 
@@ -68,13 +68,13 @@
 const forget = 500 * time.Millisecond
 
 type pool struct {
-	stamp uint64
-	by    map[string]*party
-	nodes int
-	hot   map[uint64]*hot
+	version uint64
+	by      map[string]*party
+	nodes   int
+	hot     map[uint64]*hot
 }
 
-// party is a service's endpoints: all of them, those of this site, and of
+// party is a service's endpoints: all of them, those of this zone, and of
 // these the part that this node prefers.
 type party struct {
 	all  []*remote
@@ -84,7 +84,7 @@
 
 // Pools is the copy-on-write table of endpoints by service.
 type Pools struct {
-	site  string
+	zone  string
 	name  string
 	some  int
 	self  string
@@ -99,14 +99,14 @@
 	slow  int64
 }
 
-func NewPools(site string, far, heavy float64) *Pools {
-	p := &Pools{site: site, all: map[string]*gauge{}, busy: map[string]*area{}, far: far, heavy: heavy, draw: rand.Float64, clock: func() int64 { return time.Now().UnixNano() }}
+func NewPools(zone string, far, heavy float64) *Pools {
+	p := &Pools{zone: zone, all: map[string]*gauge{}, busy: map[string]*area{}, far: far, heavy: heavy, draw: rand.Float64, clock: func() int64 { return time.Now().UnixNano() }}
 	p.cur.Store(&pool{by: map[string]*party{}})
 	return p
 }
 
 // Prefer makes the node of that name keep to n endpoints of a service in its
-// site while these can take its requests.
+// zone while these can take its requests.
 func (p *Pools) Prefer(name string, n int) *Pools {
 	p.name, p.some = name, n
 	return p
@@ -144,7 +144,7 @@
 func (p *Pools) Set(v *trunk.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := &pool{stamp: v.Stamp, by: map[string]*party{}, nodes: int(v.Nodes)}
+	n := &pool{version: v.Version, by: map[string]*party{}, nodes: int(v.Nodes)}
 	keep := map[string]*gauge{}
 	for _, e := range v.Endpoints {
 		g := p.all[e.Id]
@@ -157,14 +157,14 @@
 			y = &party{}
 			n.by[e.Service] = y
 		}
-		k := e.Service + " " + e.Site
+		k := e.Service + " " + e.Zone
 		if p.busy[k] == nil {
 			p.busy[k] = &area{}
 		}
-		r := &remote{busy: p.busy[k], id: e.Id, node: e.Node, inbound: e.Inbound, addr: e.Addr, site: e.Site,
+		r := &remote{busy: p.busy[k], id: e.Id, node: e.Node, inbound: e.Inbound, addr: e.Addr, zone: e.Zone,
 			slots: max(int64(e.Slots), 1), up: e.State == "up", cold: e.ColdMs > 0, grey: e.Grey, hash: xxhash.Sum64String(e.Id), gauge: g}
 		y.all = append(y.all, r)
-		if r.site == p.site {
+		if r.zone == p.zone {
 			y.home = append(y.home, r)
 		}
 	}
@@ -202,9 +202,9 @@
 }
 
 // score is the time until the endpoint would have answered, with bytes between
-// sites counted as time. What is not known, or not for long, is taken to be as
-// at its site's others.
-func (r *remote) score(site string, far, usual float64, heavy bool, now int64) float64 {
+// zones counted as time. What is not known, or not for long, is taken to be as
+// at its zone's others.
+func (r *remote) score(zone string, far, usual float64, heavy bool, now int64) float64 {
 	age := float64(now-r.heard.Load()) / float64(forget)
 	fresh := 1 / (1 + age*age)
 	prior := 0.0
@@ -227,7 +227,7 @@
 	if r.cold {
 		s *= 2
 	}
-	if r.site != site {
+	if r.zone != zone {
 		s *= far
 	}
 	return s
@@ -307,8 +307,8 @@
 // trickle is the share of repeatable requests that try out a grey endpoint.
 const trickle = 0.01
 
-// pick takes the endpoint that should answer first. Bytes between sites are
-// dear, so the own site is kept to while it answers well within the aim.
+// pick takes the endpoint that should answer first. Bytes between zones are
+// dear, so the own zone is kept to while it answers well within the aim.
 func (p *Pools) pick(w want) *remote {
 	y := p.cur.Load().by[w.service]
 	if y == nil {
@@ -368,7 +368,7 @@
 	return spare
 }
 
-// stay is the share of requests that keep to a site whose endpoints are that
+// stay is the share of requests that keep to a zone whose endpoints are that
 // full. The more slots an endpoint has, the fuller it can be without a queue.
 func stay(busy float64, slots int64) float64 {
 	from := 1 - 1/math.Sqrt(float64(slots)+1)
@@ -393,7 +393,7 @@
 				k := r.strain(now)
 				c /= k * k
 			}
-			if r.site != p.site {
+			if r.zone != p.zone {
 				c /= far
 			}
 			sum += c
@@ -409,7 +409,7 @@
 			i++
 		}
 		r := rs[i]
-		s := r.score(p.site, far, usual, w.heavy, now) * (1 + 0.1*p.draw())
+		s := r.score(p.zone, far, usual, w.heavy, now) * (1 + 0.1*p.draw())
 		if best == nil || s < bs {
 			best, bs = r, s
 		}
@@ -445,7 +445,7 @@
 			spare = r
 			continue
 		}
-		s := r.score(p.site, far, usual, w.heavy, now) * (1 + 0.3*p.draw())
+		s := r.score(p.zone, far, usual, w.heavy, now) * (1 + 0.3*p.draw())
 		switch {
 		case r.grey && (grey == nil || s < gs):
 			grey, gs = r, s
--- a/internal/switchboard/record.go
+++ b/internal/switchboard/record.go
@@ -54,7 +54,7 @@
 		x.DueUs, x.Fresh = t.due.Sub(t.t0).Microseconds(), t.fresh
 	}
 	if t.plan != nil {
-		x.Config = t.plan.Stamp
+		x.Config = t.plan.Version
 	}
 	if d, ok := deadline(t.r.Header); ok {
 		x.DeadlineUs = d.Microseconds()
--- a/internal/switchboard/switchboard_test.go
+++ b/internal/switchboard/switchboard_test.go
@@ -158,7 +158,7 @@
 
 func newMesh(t *testing.T, n int) *mesh {
 	m := &mesh{h: &hall{ls: map[string]*pipes{}}, bud: NewBudget(0, 200, 10*time.Second, func() int { return 1 }, grownUp())}
-	v := &trunk.View{Stamp: 1, Nodes: uint32(n)}
+	v := &trunk.View{Version: 1, Nodes: uint32(n)}
 	pools := NewPools("z", 1, 1)
 	for i := 0; i < n; i++ {
 		e := &endpoint{id: fmt.Sprint("e", i)}
@@ -170,7 +170,7 @@
 		d.Beat(subscriber.Beat{ID: e.id, Slots: 2, State: "ready", Seq: 1})
 		in := NewInbound(InboundOptions{AppAddr: fmt.Sprint("app", i), Desk: d, Line: NewAppLine(m.h.line(), m.h.line()), Peek: 64 << 10})
 		go (&http.Server{Handler: in}).Serve(m.h.listen(fmt.Sprint("in", i)))
-		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: e.id, Service: "s", Inbound: fmt.Sprint("in", i), Site: "z", Slots: 2, State: "up"})
+		v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: e.id, Service: "s", Inbound: fmt.Sprint("in", i), Zone: "z", Slots: 2, State: "up"})
 		m.eps, m.subs = append(m.eps, e), append(m.subs, d)
 	}
 	pools.Set(v)
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -23,9 +23,9 @@
 }
 
 type configAt struct {
-	at    int64
-	stamp uint64
-	doc   func() []byte
+	at      int64
+	version uint64
+	doc     func() []byte
 }
 
 // Recorder is guarded by one short lock; a nil one keeps nothing.
@@ -92,14 +92,14 @@
 }
 
 // Config notes a configuration that came into force here; doc writes it whole.
-func (r *Recorder) Config(stamp uint64, doc func() []byte) {
+func (r *Recorder) Config(version uint64, doc func() []byte) {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := r.now().UnixMicro()
-	r.configs = append(r.configs, configAt{at, stamp, doc})
+	r.configs = append(r.configs, configAt{at, version, doc})
 	n := 0
 	for n < len(r.configs)-1 && (len(r.configs)-n > keepConfigs || at-r.configs[n+1].at > r.span.Microseconds()) {
 		n++
@@ -149,12 +149,12 @@
 	if from == 0 {
 		for i, v := range r.views {
 			if i == len(r.views)-1 || r.views[i+1].at > since {
-				o.Views = append(o.Views, &trunk.Point{AtUs: v.at, Epoch: v.view.Epoch, Stamp: v.view.Stamp})
+				o.Views = append(o.Views, &trunk.Point{AtUs: v.at, Epoch: v.view.Epoch, Version: v.view.Version})
 			}
 		}
 		for i, c := range r.configs {
 			if i == len(r.configs)-1 || r.configs[i+1].at > since {
-				o.Configs = append(o.Configs, &trunk.Point{AtUs: c.at, Stamp: c.stamp})
+				o.Configs = append(o.Configs, &trunk.Point{AtUs: c.at, Version: c.version})
 			}
 		}
 		for _, b := range r.bal {
@@ -177,7 +177,7 @@
 	o := &trunk.PartsResp{}
 	for _, x := range q.Views {
 		for _, v := range vs {
-			if v.view.Epoch == x.Epoch && v.view.Stamp == x.Stamp {
+			if v.view.Epoch == x.Epoch && v.view.Version == x.Version {
 				o.Views = append(o.Views, v.view.Lean())
 				break
 			}
@@ -185,8 +185,8 @@
 	}
 	for _, s := range q.Configs {
 		for _, c := range cs {
-			if c.stamp == s {
-				o.Configs = append(o.Configs, &trunk.ConfigDoc{Stamp: s, Packed: trunk.Pack(c.doc())})
+			if c.version == s {
+				o.Configs = append(o.Configs, &trunk.ConfigDoc{Version: s, Packed: trunk.Pack(c.doc())})
 				break
 			}
 		}
--- a/internal/tracer/tracer.go
+++ b/internal/tracer/tracer.go
@@ -26,13 +26,13 @@
 // Step is one thing done to a change: Kind and Stamp name the change for its
 // users, Shard and Mark its place in the control state.
 type Step struct {
-	At    time.Time
-	What  string
-	Kind  string
-	Stamp uint64
-	Shard int
-	Epoch uint64
-	Mark  uint64
+	At      time.Time
+	What    string
+	Kind    string
+	Version uint64
+	Shard   int
+	Epoch   uint64
+	Mark    uint64
 }
 
 // Ring keeps the last steps behind a short lock.
@@ -59,8 +59,8 @@
 // key:group.name for the last put of a key that is remembered, or pin:KEY for
 // a session under its hashed key.
 type Change struct {
-	Kind  string
-	Stamp uint64
+	Kind    string
+	Version uint64
 }
 
 func Parse(s string) (Change, error) {
@@ -87,17 +87,17 @@
 // Find gives the steps of a change, and the first commit that covers it.
 func (r *Ring) Find(c Change) []*trunk.TraceLine {
 	ss := r.all()
-	if c.Stamp == 0 {
+	if c.Version == 0 {
 		for _, s := range ss {
 			if s.Kind == c.Kind {
-				c.Stamp = max(c.Stamp, s.Stamp)
+				c.Version = max(c.Version, s.Version)
 			}
 		}
 	}
 	var out []*trunk.TraceLine
 	marks := map[[2]uint64]int{}
 	for _, s := range ss {
-		hit := s.Kind == c.Kind && s.Stamp == c.Stamp
+		hit := s.Kind == c.Kind && s.Version == c.Version
 		if s.Kind == "" {
 			for m, sh := range marks {
 				if sh == s.Shard && m[0] == s.Epoch && s.Mark >= m[1] {
@@ -111,7 +111,7 @@
 		}
 		d := ""
 		if s.Mark > 0 {
-			d = fmt.Sprintf("shard %d stamp %d", s.Shard, s.Mark)
+			d = fmt.Sprintf("shard %d version %d", s.Shard, s.Mark)
 			if s.Kind != "" && s.What == "proposed" {
 				marks[[2]uint64{s.Epoch, s.Mark}] = s.Shard
 			}
--- a/internal/trunk/net_test.go
+++ b/internal/trunk/net_test.go
@@ -18,7 +18,7 @@
 // TestCallsBetweenProcessesAreSentOnce has the other process answer the first
 // call on a stream and do to the second what the case says.
 func TestCallsBetweenProcessesAreSentOnce(t *testing.T) {
-	ok, err := proto.Marshal(&CopyResp{Roll: 1})
+	ok, err := proto.Marshal(&CopyResp{Membership: 1})
 	qt.Assert(t, err, qt.IsNil)
 	good := func(s net.Conn) {
 		io.WriteString(s, "HTTP/1.1 200 OK\r\nContent-Type: application/protobuf\r\nContent-Length: 2\r\n\r\n"+string(ok))
--- a/internal/trunk/pack.go
+++ b/internal/trunk/pack.go
@@ -34,9 +34,9 @@
 
 // Since gives what changed from one view to the next of the same epoch.
 func (x *View) Since(old *View) *View {
-	d := &View{Epoch: x.Epoch, Stamp: x.Stamp, Base: old.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Hot: x.Hot}
-	if x.Roll.GetStamp() != old.Roll.GetStamp() {
-		d.Roll = x.Roll
+	d := &View{Epoch: x.Epoch, Version: x.Version, Base: old.Version, ConfigVersion: x.ConfigVersion, Master: x.Master, Nodes: x.Nodes, Hot: x.Hot}
+	if x.Membership.GetVersion() != old.Membership.GetVersion() {
+		d.Membership = x.Membership
 	}
 	had := make(map[string]*Endpoint, len(old.Endpoints))
 	for _, e := range old.Endpoints {
@@ -56,9 +56,9 @@
 
 // Onto makes the whole view of a difference and the view that it stands on.
 func (x *View) Onto(old *View) *View {
-	v := &View{Epoch: x.Epoch, Stamp: x.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Roll: x.Roll, Hot: x.Hot}
-	if v.Roll == nil {
-		v.Roll = old.Roll
+	v := &View{Epoch: x.Epoch, Version: x.Version, ConfigVersion: x.ConfigVersion, Master: x.Master, Nodes: x.Nodes, Membership: x.Membership, Hot: x.Hot}
+	if v.Membership == nil {
+		v.Membership = old.Membership
 	}
 	drop := make(map[string]bool, len(x.Gone)+len(x.Endpoints))
 	for _, id := range x.Gone {
@@ -78,5 +78,5 @@
 
 // Lean is the view without what only a next master needs.
 func (x *View) Lean() *View {
-	return &View{Epoch: x.Epoch, Stamp: x.Stamp, ConfigStamp: x.ConfigStamp, Master: x.Master, Nodes: x.Nodes, Roll: x.Roll, Endpoints: x.Endpoints, Hot: x.Hot}
+	return &View{Epoch: x.Epoch, Version: x.Version, ConfigVersion: x.ConfigVersion, Master: x.Master, Nodes: x.Nodes, Membership: x.Membership, Endpoints: x.Endpoints, Hot: x.Hot}
 }
--- a/internal/trunk/pack_test.go
+++ b/internal/trunk/pack_test.go
@@ -10,12 +10,12 @@
 
 func TestViewsGoOutAsDifferences(t *testing.T) {
 	e := func(id, st string) *Endpoint { return &Endpoint{Id: id, State: st} }
-	a := &View{Epoch: 2, Stamp: 5, Nodes: 3, Roll: &Roll{Stamp: 1}, Endpoints: []*Endpoint{e("a", "up"), e("b", "up"), e("c", "up")}, NodeLines: []string{"n x"}}
-	b := &View{Epoch: 2, Stamp: 6, Nodes: 4, Roll: &Roll{Stamp: 1}, Endpoints: []*Endpoint{e("a", "up"), e("b", "draining"), e("d", "up")}}
+	a := &View{Epoch: 2, Version: 5, Nodes: 3, Membership: &Membership{Version: 1}, Endpoints: []*Endpoint{e("a", "up"), e("b", "up"), e("c", "up")}, NodeLines: []string{"n x"}}
+	b := &View{Epoch: 2, Version: 6, Nodes: 4, Membership: &Membership{Version: 1}, Endpoints: []*Endpoint{e("a", "up"), e("b", "draining"), e("d", "up")}}
 	d := b.Since(a)
 	qt.Assert(t, len(d.Endpoints), qt.Equals, 2)
 	qt.Assert(t, d.Gone, qt.DeepEquals, []string{"c"})
-	qt.Assert(t, d.Roll, qt.IsNil)
+	qt.Assert(t, d.Membership, qt.IsNil)
 	x := d.Onto(a)
 	var got []string
 	for _, y := range x.Endpoints {
@@ -23,7 +23,7 @@
 	}
 	sort.Strings(got)
 	qt.Assert(t, got, qt.DeepEquals, []string{"aup", "bdraining", "dup"})
-	qt.Assert(t, x.Stamp == 6 && x.Nodes == 4 && x.Roll.Stamp == 1 && x.Base == 0, qt.IsTrue)
+	qt.Assert(t, x.Version == 6 && x.Nodes == 4 && x.Membership.Version == 1 && x.Base == 0, qt.IsTrue)
 	qt.Assert(t, a.Lean().NodeLines, qt.IsNil)
 }
 
