--- a/internal/supervisor/master.go
+++ b/internal/supervisor/master.go
@@ -65,19 +65,21 @@
 	polls      map[string]context.CancelFunc
 	membership *trunk.Membership
 
-	listed  []*trunk.Endpoint
-	ills    verdicts
-	judged  time.Duration
-	heated  time.Duration
-	hots    *HotKeys
-	hot     []*trunk.HotKey
-	view    *trunk.View
-	inner   []*trunk.Endpoint
-	kept    *trunk.Kept
-	dirty   bool
-	changed time.Duration
-	made    time.Duration
-	making  bool
+	listed []*trunk.Endpoint
+	ills   verdicts
+	judged time.Duration
+	heated time.Duration
+	hots   *HotKeys
+	hot    []*trunk.HotKey
+	view   *trunk.View
+	inner  []*trunk.Endpoint
+	kept   *trunk.Kept
+	dirty  bool
+	// rejoining: endpoints that nodes have not found again count as they were.
+	rejoining bool
+	changed   time.Duration
+	made      time.Duration
+	making    bool
 
 	conf    uint64
 	packed  []byte
@@ -93,6 +95,10 @@
 
 const keepViews = 24
 
+// rejoin is how long after a takeover a node that has lost its memory may take to
+// find its endpoint: a beat and a little more.
+const rejoin = 2 * time.Second
+
 // courier is what the master knows that one life of a node has.
 type courier struct {
 	life string
@@ -145,14 +151,15 @@
 			m.listed = append(m.listed, e)
 			continue
 		}
-		if h := m.hs[e.Node]; h == nil {
-			m.hs[e.Node] = &history{state: &trunk.NodeState{Name: e.Node, Addr: "", Inbound: e.Inbound, Endpoint: &trunk.Endpoint{
-				Id: e.Id, Service: e.Service, Addr: e.Addr, Zone: e.Zone, Slots: e.Slots, State: back(e.State), Sound: true, Release: e.Release}},
-				seen: now, reached: true, endpoint: e.Id, last: e}
-		} else {
-			h.seen, h.fails, h.reached = now, 0, true
+		was := &trunk.Endpoint{Id: e.Id, Service: e.Service, Addr: e.Addr, Zone: e.Zone, Slots: e.Slots, State: back(e.State), Sound: true, Release: e.Release}
+		h := m.hs[e.Node]
+		if h == nil {
+			h = &history{state: &trunk.NodeState{Name: e.Node, Inbound: e.Inbound, Endpoint: was}, endpoint: e.Id, last: was}
+			m.hs[e.Node] = h
 		}
+		h.seen, h.fails, h.reached, h.kept = now, 0, true, true
 	}
+	m.rejoining = true
 	for _, l := range v.NodeLines {
 		name, addr := cut(l)
 		h := m.hs[name]
@@ -518,6 +525,13 @@
 	if !m.leading || !m.sure() || m.making || now-m.since < max(m.o.Transition, 2*m.cast()) {
 		return
 	}
+	if m.rejoining && now-m.since > rejoin {
+		m.rejoining = false
+		for _, h := range m.hs {
+			h.kept = false
+		}
+		m.touch()
+	}
 	for n, h := range m.hs {
 		m.follow(n, h)
 	}
--- a/internal/supervisor/merge.go
+++ b/internal/supervisor/merge.go
@@ -38,6 +38,17 @@
 	unproven bool
 	setOut   bool
 	last     *trunk.Endpoint
+	// kept: the last view showed last, and the node, just started like all others,
+	// may not have found it again yet.
+	kept bool
+}
+
+// known is the endpoint that the node reports, or had a moment ago.
+func (h *history) known() *trunk.Endpoint {
+	if e := h.state.GetEndpoint(); e.GetId() != "" || !h.kept {
+		return e
+	}
+	return h.last
 }
 
 type rules struct {
@@ -97,8 +108,8 @@
 // official is the state that the view gives a node's endpoint: what was
 // reported, lowered by history, capped by the user state.
 func (h *history) official(user string) string {
-	e := h.state.GetEndpoint()
-	if e == nil || e.Id == "" || !h.reached {
+	e := h.known()
+	if e.GetId() == "" || !h.reached {
 		return Down
 	}
 	s := Down
@@ -134,7 +145,7 @@
 		if s == Down {
 			continue
 		}
-		e := h.state.Endpoint
+		e := h.known()
 		out = append(out, &trunk.Endpoint{Id: e.Id, Service: e.Service, Addr: e.Addr, Zone: e.Zone, Slots: e.Slots, State: s,
 			ColdMs: e.ColdMs, Release: e.Release, Node: n, Inbound: h.state.Inbound, Sound: e.Sound, Ill: e.Ill})
 	}
--- a/internal/supervisor/relay_test.go
+++ b/internal/supervisor/relay_test.go
@@ -278,3 +278,36 @@
 		qt.Assert(t, late.take(&trunk.View{Epoch: 1, Version: 99}, 2, ""), qt.IsFalse, qt.Commentf("older than what it has"))
 	})
 }
+
+// A node that was killed with all others says at first that it knows no endpoint:
+// that takes no endpoint out of the view, until it has had time to find it.
+func TestEndpointsStayWhileTheirNodesFindThemAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, _, roll := crowd(t, 30, 3)
+		defer s.m.Loop.Close()
+		defer s.do(s.m.Step)
+		v := keptOf(30)
+		for i, f := range s.ns {
+			v.Endpoints = append(v.Endpoints, &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", State: Up, Node: fmt.Sprint("n", i), Inbound: fmt.Sprint("i", i)})
+			f.agent.Set(func(n *trunk.NodeState) { n.Endpoint = nil })
+		}
+		s.do(func() { s.m.Lead(2, v, map[string]string{}, conf(5, "d"), roll) })
+		pass(time.Second)
+		qt.Assert(t, s.count(0), qt.Equals, 30)
+		for i, f := range s.ns[:20] {
+			f.agent.Set(func(n *trunk.NodeState) {
+				n.Endpoint = &trunk.Endpoint{Id: fmt.Sprint("e", i), Service: "s", State: "ready", Sound: true, Slots: 4}
+			})
+		}
+		s.ns[20].agent.Set(func(n *trunk.NodeState) {
+			n.Endpoint = &trunk.Endpoint{Id: "e20", Service: "s", State: "gone", Sound: true, Slots: 4}
+		})
+		pass(500 * time.Millisecond)
+		qt.Assert(t, s.count(0), qt.Equals, 29)
+		pass(3 * time.Second)
+		qt.Assert(t, s.count(0), qt.Equals, 20)
+		for _, n := range s.sizes {
+			qt.Assert(t, n >= 20, qt.IsTrue, qt.Commentf("%v", s.sizes))
+		}
+	})
+}
