--- a/internal/exchange/worlds_test.go
+++ b/internal/exchange/worlds_test.go
@@ -615,3 +615,55 @@
 		}
 	}
 }
+
+// From a loss to the moment at which the next one may come: the successor, or the
+// member itself, is in the membership and has all copies.
+func TestNextLossMayComeWithinTheTimeToCatchUp(t *testing.T) {
+	for _, z := range []struct{ members, losses int }{{3, 1}, {5, 1}, {11, 2}, {19, 2}} {
+		for _, what := range []trouble{replace, wipe, crash, planned} {
+			worst, sum := time.Duration(0), time.Duration(0)
+			const seeds = 6
+			for seed := int64(1); seed <= seeds; seed++ {
+				g := &game{world: newWorld(t, seed, z.members), p: plan{Members: z.members}, taken: map[string]bool{}}
+				g.r = newRules(g.world)
+				g.run(time.Duration(z.members)*500*time.Millisecond + 3*time.Second)
+				g.whole("before the loss")
+				g.r.work(g.now + time.Minute)
+				g.run(g.now + time.Second)
+				m := g.all()[g.rng.Intn(z.members)]
+				since := g.now
+				switch what {
+				case replace:
+					m.kill()
+					g.run(g.now + time.Second)
+					since = g.now
+					g.successor()
+				case wipe:
+					m.kill()
+					m.disk = nil
+					g.run(g.now + time.Second)
+					since = g.now
+					m.start()
+				case crash:
+					m.kill()
+					g.run(g.now + time.Second)
+					since = g.now
+					m.start()
+				case planned:
+					g.successor()
+					g.run(g.now + time.Second)
+					since = g.now
+					g.leave(m, func() {})
+				}
+				for g.run(g.now + 20*time.Millisecond); g.wrong() != "" && g.now < since+10*time.Second; {
+					g.run(g.now + 20*time.Millisecond)
+				}
+				worst, sum = max(worst, g.now-since), sum+g.now-since
+			}
+			t.Logf("%2d members, %-8v mean %v, worst %v", z.members, what, (sum / seeds).Round(10*time.Millisecond), worst)
+			if worst > catchUp*3/4 {
+				t.Errorf("%d members, %v: %v", z.members, what, worst)
+			}
+		}
+	}
+}
