--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -331,6 +331,9 @@
 	go cs.Serve(ctl)
 	go c.master.Loop.Run(tick, c.master.Tick)
 	go loop.Run(tick, c.board.Tick)
+	go p.reseed(func() bool { out, _ := exchange.Ask(loop, c.board.Blank); return out }, func(o options.Options) {
+		loop.Put(func() { c.board.Reseed(members(o)) })
+	})
 
 	if o.Platform.Discovery == options.FromCloud {
 		rctx, end := context.WithCancel(context.Background())
--- a/cmd/corkcove/main.go
+++ b/cmd/corkcove/main.go
@@ -193,6 +193,21 @@
 	p.ring.Note("options", "settings taken again")
 }
 
+const reseedEach = 2 * time.Second
+
+// reseed reads the settings again, which may change without a signal, while this
+// process looks for the core.
+func (p *process) reseed(lost func() bool, set func(options.Options)) {
+	for range time.Tick(reseedEach) {
+		if !lost() {
+			continue
+		}
+		if o, err := options.Load(p.path, p.role); err == nil {
+			set(o)
+		}
+	}
+}
+
 // wait returns at SIGTERM or SIGINT; SIGHUP takes the settings again.
 func (p *process) wait() {
 	sig := make(chan os.Signal, 4)
--- a/cmd/corkcove/station.go
+++ b/cmd/corkcove/station.go
@@ -39,6 +39,7 @@
 		pools.Set(v)
 		tickets.View(v)
 	}
+	go p.reseed(func() bool { return ag.View() == nil }, func(o options.Options) { ag.Reseed(o.SeedInner()) })
 	pools.SlowStart(options.Secs(o.Hot.SlowS))
 	return station{p, pools, ag, p.newCords(lines, ag), tickets,
 		switchboard.NewBudget(bd.RetryRatio, bd.RetrySlack, options.Secs(bd.RetryWindowS), pools.Nodes, p.now), switchboard.NewKeyMeter(time.Now)}
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -202,6 +202,7 @@
 	enrolled map[string]bool
 	prior    *trunk.Membership
 	joinAt   time.Duration
+	more     []*trunk.Member
 	gone     bool
 	urgent   bool
 	settles  []uint64
--- a/internal/exchange/members.go
+++ b/internal/exchange/members.go
@@ -337,7 +337,7 @@
 		q.Caught = b.membership.Version
 	}
 	seen := map[string]bool{b.me.Addr: true}
-	for _, m := range append(slices.Clone(b.membership.Members), b.o.Seeds...) {
+	for _, m := range slices.Concat(b.membership.Members, b.o.Seeds, b.more) {
 		if seen[m.Addr] {
 			continue
 		}
@@ -346,6 +346,10 @@
 	}
 }
 
+// Reseed gives a process outside the membership further members to ask: those of
+// its start may all be gone.
+func (b *Board) Reseed(ms []*trunk.Member) { b.more = ms }
+
 func (b *Board) joined(r *trunk.JoinResp) {
 	if r == nil || !b.blank {
 		return
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -82,7 +82,9 @@
 	rng   *rand.Rand
 	ms    map[string]*machine
 	names []string
-	cut   map[[2]string]bool
+	// told are the seeds of all that start later, if set.
+	told []string
+	cut  map[[2]string]bool
 	// What mute machines send, and what is sent to deaf ones, is lost.
 	mute  map[string]bool
 	deaf  map[string]bool
@@ -139,6 +141,13 @@
 	if first {
 		return out[:min(w.n, 3)]
 	}
+	if w.told != nil {
+		out = out[:0]
+		for _, a := range w.told {
+			out = append(out, &trunk.Member{Addr: a, Control: a})
+		}
+		return out
+	}
 	w.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
 	return out[:min(len(out), 3)]
 }
@@ -941,3 +950,18 @@
 	w.run(w.now + time.Second)
 	qt.Assert(t, b.Follows(0, e), qt.IsFalse)
 }
+
+// A successor may be told of members that are all gone, and of others later.
+func TestLearnerAsksTheMembersThatItIsToldOfLater(t *testing.T) {
+	w := newWorld(t, 4, 5)
+	w.run(6 * time.Second)
+	w.ms["m0"].kill()
+	w.told = []string{"m0"}
+	n := w.add("n1", false)
+	w.run(w.now + 4*time.Second)
+	qt.Assert(t, n.board.Blank(), qt.IsTrue)
+	n.board.Reseed([]*trunk.Member{{Addr: "m3", Control: "m3"}})
+	w.run(w.now + 2*time.Second)
+	qt.Assert(t, n.board.Blank(), qt.IsFalse)
+	qt.Assert(t, len(n.board.Membership().Members), qt.Equals, 5)
+}
--- a/internal/supervisor/agent.go
+++ b/internal/supervisor/agent.go
@@ -281,6 +281,13 @@
 	return out
 }
 
+// Reseed changes the core nodes that this one was told of.
+func (a *Agent) Reseed(seeds []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Seeds = seeds
+}
+
 // Run says hello to the core until a master polls this node; it asks less
 // often the longer none does.
 func (a *Agent) Run(ctx context.Context, gap time.Duration) {
