Asks of all sounded shards go in one; members of the first start stay such through a restart

Read over: after a sounding each shard asked by itself, 13 calls to each member instead of one; a copy that obeys another under the same epoch was pushed again at once, now the owner gives up; a process of the first start that ended before it was a member was no more counted.

--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -206,6 +206,7 @@
 	gone     bool
 	urgent   bool
 	settles  []uint64
+	sounded  []*shard
 
 	held  atomic.Int64
 	epoch atomic.Uint64
@@ -254,6 +255,7 @@
 	if b.membership == nil {
 		b.membership = &trunk.Membership{}
 	}
+	b.first = b.first && !b.member()
 	for _, s := range b.shards {
 		s.fresh = -1 << 40
 		if s.promisedBy != "" && s.promisedBy != b.me.Id {
@@ -267,7 +269,7 @@
 
 func (b *Board) replay(r *trunk.Record, now time.Duration) {
 	if id := r.GetIdentity(); id != nil {
-		b.me.Id = id.Id
+		b.me.Id, b.first = id.Id, b.first || id.First
 	}
 	if x := r.GetMembership(); x != nil && (b.membership == nil || x.Version > b.membership.Version) {
 		b.membership = x
@@ -450,7 +452,7 @@
 }
 
 func (b *Board) page() [][]byte {
-	out := [][]byte{enc(&trunk.Record{Identity: &trunk.Identity{Id: b.me.Id}})}
+	out := [][]byte{enc(&trunk.Record{Identity: &trunk.Identity{Id: b.me.Id, First: b.first}})}
 	if b.membership.Version > 0 {
 		out = append(out, enc(&trunk.Record{Membership: b.membership}))
 	}
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -268,8 +268,8 @@
 		again := !whole
 		for _, a := range r.Acks {
 			s := b.shards[a.Shard]
-			if a.Promised > s.promised && (s.role == owner || s.role == handing) {
-				b.depose(s, a.Promised, "a copy knows a higher epoch")
+			if a.Promised >= s.promised && a.Promised > 0 && (s.role == owner || s.role == handing) {
+				b.depose(s, a.Promised, "a copy obeys another")
 				continue
 			}
 			if a.Epoch != s.epoch || s.role != owner && s.role != handing {
@@ -278,7 +278,9 @@
 			if a.Gap {
 				p.known[s.ix], p.acked[s.ix] = 0, 0
 				p.have[s.ix] = have{s.epoch, span{a.HaveEpoch, a.HaveVersion}}
-				again = again || a.Promised == 0
+				if again = again || a.Promised == 0; a.Promised > 0 {
+					p.nextAt = b.now() + b.o.Beat/5
+				}
 				continue
 			}
 			p.known[s.ix], p.acked[s.ix] = a.Epoch, a.Version
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -965,3 +965,17 @@
 	qt.Assert(t, n.board.Blank(), qt.IsFalse)
 	qt.Assert(t, len(n.board.Membership().Members), qt.Equals, 5)
 }
+
+// One of the first start that ends before it is a member is still one of them.
+func TestFirstMembershipIsWholeAlsoIfOneRestartsMeanwhile(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		w := newWorld(t, seed, 5)
+		w.run(time.Duration(100+20*seed) * time.Millisecond)
+		w.ms["m4"].kill()
+		w.run(w.now + 2*time.Second)
+		w.ms["m4"].start()
+		w.run(w.now + 4*time.Second)
+		qt.Assert(t, len(w.ms["m0"].board.Membership().Members), qt.Equals, 5, qt.Commentf("seed %d", seed))
+		qt.Assert(t, w.ms["m4"].board.Blank(), qt.IsFalse)
+	}
+}
--- a/internal/exchange/turns.go
+++ b/internal/exchange/turns.go
@@ -305,6 +305,14 @@
 	for _, s := range ss {
 		b.promised(s, s.asked, b.me.Id)
 	}
+	b.askSounded()
+}
+
+// askSounded asks in one for all whose sounding has just come to its end.
+func (b *Board) askSounded() {
+	ss := b.sounded
+	b.sounded = nil
+	b.ask(ss)
 }
 
 // epochRanks parts the epochs among the members, so that two who ask at once
@@ -395,6 +403,7 @@
 			}
 			b.promised(s, a.Epoch, p.m.Id)
 		}
+		b.askSounded()
 	})
 }
 
@@ -478,7 +487,8 @@
 		return
 	}
 	if s.pre {
-		b.ask([]*shard{s})
+		b.sounded = append(b.sounded, s)
+		s.oks = map[string]bool{}
 		return
 	}
 	st := s.best
