--- a/internal/desk/core_test.go
+++ b/internal/desk/core_test.go
@@ -239,7 +239,7 @@
 }
 
 func (x tube) Lease(to *trunk.Member, q *trunk.LeaseReq, cb func(*trunk.LeaseResp)) {
-	pass(x, to.Addr, q, cb, exchange.Door.Lease)
+	pass(x, to.Addr, q, cb, exchange.Door.Hold)
 }
 func (x tube) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
 	pass(x, to.Addr, q, cb, exchange.Door.Copy)
--- a/internal/exchange/loop.go
+++ b/internal/exchange/loop.go
@@ -99,7 +99,7 @@
 }
 
 func (n Net) Lease(to *trunk.Member, q *trunk.LeaseReq, cb func(*trunk.LeaseResp)) {
-	send(n, n.Short, n.Lines.Exchange(to.Addr).Lease, q, cb)
+	send(n, n.Short, n.Lines.Exchange(to.Addr).Hold, q, cb)
 }
 
 func (n Net) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
@@ -152,7 +152,7 @@
 
 var errHead = Error.New("a call without a sender")
 
-func (d Door) Lease(_ context.Context, q *trunk.LeaseReq) (*trunk.LeaseResp, error) {
+func (d Door) Hold(_ context.Context, q *trunk.LeaseReq) (*trunk.LeaseResp, error) {
 	if !whole(q.Head) {
 		return nil, errHead
 	}
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -288,12 +288,36 @@
 			b.advance(s)
 			b.relet(s)
 		}
+		if !r.Deaf {
+			b.unanswered(p, q, r)
+		}
 		if again || slices.Contains(b.near, p) {
 			b.push(p)
 		}
 	})
 }
 
+// nothing is what no copy has, so that the whole state goes.
+var nothing = span{version: 1 << 63}
+
+// unanswered notes raises of which a copy said nothing, or that it would go on
+// from just there: a member of the release before knows none and gets states.
+func (b *Board) unanswered(p *peer, q *trunk.CopyReq, r *trunk.CopyResp) {
+	for _, x := range q.Raises {
+		i := slices.IndexFunc(r.Acks, func(a *trunk.CopyAck) bool { return a.Shard == x.Shard })
+		if i >= 0 {
+			a := r.Acks[i]
+			if !a.Gap || a.Promised > 0 || a.HaveEpoch != x.FromEpoch || a.HaveVersion != x.FromVersion {
+				continue
+			}
+		}
+		if s := b.shards[x.Shard]; x.Epoch == s.epoch {
+			p.have[x.Shard] = have{s.epoch, nothing}
+			p.nextAt = b.now() + b.o.Beat/5
+		}
+	}
+}
+
 func (b *Board) depose(s *shard, epoch uint64, why string) {
 	if s.role == idle {
 		return
@@ -470,6 +494,7 @@
 	r.Sound = b.ready(b.me.Id)
 	if q.Head.Deaf {
 		// It does not hear the answers, or is back after a while: this one tells.
+		r.Deaf = true
 		reply(r)
 		return
 	}
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -84,7 +84,10 @@
 	names []string
 	// told are the seeds of all that start later, if set.
 	told []string
-	cut  map[[2]string]bool
+	// plain is a member that knows no raises; copies counts the copies sent.
+	plain  string
+	copies int
+	cut    map[[2]string]bool
 	// What mute machines send, and what is sent to deaf ones, is lost.
 	mute  map[string]bool
 	deaf  map[string]bool
@@ -369,7 +372,21 @@
 	carry(x, to.Addr, q, cb, func(b *exchange.Board, q *trunk.LeaseReq, f func(*trunk.LeaseResp)) { f(b.OnLease(q)) })
 }
 func (x *wire) Copy(to *trunk.Member, q *trunk.CopyReq, cb func(*trunk.CopyResp)) {
-	carry(x, to.Addr, q, cb, (*exchange.Board).OnCopy)
+	x.m.w.copies++
+	if x.m.w.plain != to.Addr {
+		carry(x, to.Addr, q, cb, (*exchange.Board).OnCopy)
+		return
+	}
+	q = proto.Clone(q).(*trunk.CopyReq)
+	q.Raises = nil
+	carry(x, to.Addr, q, cb, func(b *exchange.Board, q *trunk.CopyReq, reply func(*trunk.CopyResp)) {
+		b.OnCopy(q, func(r *trunk.CopyResp) {
+			for _, a := range r.GetAcks() {
+				a.HaveEpoch, a.HaveVersion = 0, 0
+			}
+			reply(r)
+		})
+	})
 }
 func (x *wire) Ask(to *trunk.Member, q *trunk.AskReq, cb func(*trunk.AskResp)) {
 	carry(x, to.Addr, q, cb, (*exchange.Board).OnAsk)
@@ -823,7 +840,7 @@
 	h := &trunk.Head{From: me, To: me.Id, Membership: 1}
 	c := t.Context()
 	for _, h := range []*trunk.Head{nil, {}, h} {
-		d.Lease(c, &trunk.LeaseReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}, nil}})
+		d.Hold(c, &trunk.LeaseReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}, nil}})
 		d.Copy(c, &trunk.CopyReq{Head: h, Entries: []*trunk.Entry{{Shard: 999}}, States: []*trunk.ShardState{{Shard: 999}}})
 		d.Ask(c, &trunk.AskReq{Head: h, Asks: []*trunk.Ask{{Shard: 999}}})
 		d.Hand(c, &trunk.HandReq{Head: h, Marks: []*trunk.Mark{{Shard: 999}}})
@@ -979,3 +996,23 @@
 		qt.Assert(t, w.ms["m4"].board.Blank(), qt.IsFalse)
 	}
 }
+
+// A member of the release before takes states and entries, and passes over what
+// it does not know.
+func TestMembersThatKnowNoRaisesGetWholeStates(t *testing.T) {
+	w := newWorld(t, 2, 3)
+	r := newRules(w)
+	r.work(20 * time.Second)
+	w.run(4 * time.Second)
+	w.plain = "m2"
+	calls := w.copies
+	w.ms["m0"].kill()
+	w.run(w.now + 3*time.Second)
+	qt.Assert(t, w.owners(), qt.Equals, simShards)
+	for i, l := range w.ms["m1"].board.Lines() {
+		if l.Owned {
+			qt.Check(t, w.ms["m2"].board.Epoch(i), qt.Equals, l.Epoch)
+		}
+	}
+	qt.Assert(t, w.copies-calls < 600, qt.IsTrue, qt.Commentf("%d copies", w.copies-calls))
+}
