A member that was put out is no more of the first start; kills aimed at an acknowledgement

Mended in the reading of the log. Tests: TestMemberThatWasPutOutIsNoMoreOfTheFirstStart, and, for guards that the worlds reach seldom, TestCallsUnderAnotherMembershipAreRefused and TestTwoThatAskAtOnceLeaveNoCopyBehind.

--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -273,6 +273,7 @@
 	}
 	if x := r.GetMembership(); x != nil && (b.membership == nil || x.Version > b.membership.Version) {
 		b.membership = x
+		b.first = b.first && !inMembership(x, b.me.Id)
 	}
 	if p := r.GetPromise(); p != nil && int(p.Shard) < len(b.shards) {
 		s := b.shards[p.Shard]
--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -419,6 +419,8 @@
 	fence   map[string]uint64
 	// gentle asks less often, where worlds are long.
 	gentle bool
+	// onAck is called at the moment at which a change has been acknowledged.
+	onAck func()
 }
 
 func newRules(w *world) *rules {
@@ -458,7 +460,11 @@
 func (r *rules) callAt(m *machine, shard, hops int, f func(t *numbering.Table, now time.Duration) *trunk.Change, cb func(error)) {
 	w := r.w
 	lag := func() time.Duration { return time.Duration(w.rng.Intn(3000)) * time.Microsecond }
+	changed := false
 	answer := func(err error) {
+		if err == nil && changed && r.onAck != nil {
+			r.onAck()
+		}
 		w.at(lag(), func() {
 			if err != nil {
 				r.failed++
@@ -484,7 +490,11 @@
 				r.callAt(w.ms[o.Addr], shard, hops-1, f, cb)
 				return
 			}
-			b.Do(shard, func(t exchange.Table, now time.Duration) *trunk.Change { return f(t.(*numbering.Table), now) }, answer)
+			b.Do(shard, func(t exchange.Table, now time.Duration) *trunk.Change {
+				c := f(t.(*numbering.Table), now)
+				changed = c != nil
+				return c
+			}, answer)
 		})
 	})
 }
@@ -1016,3 +1026,60 @@
 	}
 	qt.Assert(t, w.copies-calls < 600, qt.IsTrue, qt.Commentf("%d copies", w.copies-calls))
 }
+
+// One that was a member and was put out while it was cut off is a learner like
+// any other, also after a restart: the membership keeps its size.
+func TestMemberThatWasPutOutIsNoMoreOfTheFirstStart(t *testing.T) {
+	w := newWorld(t, 6, 5)
+	w.run(6 * time.Second)
+	w.isolate("m3", true)
+	w.add("n1", false)
+	w.run(w.now + 5*time.Second)
+	w.ms["m3"].kill()
+	w.isolate("m3", false)
+	w.ms["m3"].start()
+	w.run(w.now + 5*time.Second)
+	qt.Assert(t, len(w.ms["m0"].board.Membership().Members), qt.Equals, 5)
+	qt.Assert(t, w.ms["m3"].board.Blank(), qt.IsTrue)
+}
+
+// What comes under another membership counts for nothing.
+func TestCallsUnderAnotherMembershipAreRefused(t *testing.T) {
+	w := newWorld(t, 6, 3)
+	w.run(5 * time.Second)
+	b, from := w.ms["m1"].board, w.ms["m0"].board.Me()
+	l := b.Lines()[0]
+	for _, v := range []uint64{0, b.Membership().Version - 1, b.Membership().Version + 1} {
+		h := &trunk.Head{From: from, To: b.Me().Id, Membership: v}
+		acks, promises := 0, 0
+		b.OnCopy(&trunk.CopyReq{Head: h, Raises: []*trunk.Raise{{Epoch: l.Epoch + 640, FromEpoch: l.Epoch, FromVersion: l.Version}}}, func(r *trunk.CopyResp) { acks += len(r.GetAcks()) })
+		b.OnAsk(&trunk.AskReq{Head: h, Asks: []*trunk.Ask{{Epoch: l.Epoch + 640}}}, func(r *trunk.AskResp) { promises += len(r.GetReplies()) })
+		g := b.OnLease(&trunk.LeaseReq{Head: h, Marks: []*trunk.Mark{{Epoch: l.Epoch, Version: l.Version}}})
+		w.run(w.now + 20*time.Millisecond)
+		qt.Check(t, acks+promises+len(g.Granted), qt.Equals, 0, qt.Commentf("version %d", v))
+	}
+	qt.Assert(t, b.Lines()[0].Epoch, qt.Equals, l.Epoch)
+}
+
+// Two that ask at once, each sure that it was named, ask for different epochs, so
+// that the one that is left, and its copy, obeys the other.
+func TestTwoThatAskAtOnceLeaveNoCopyBehind(t *testing.T) {
+	for seed := int64(1); seed <= 20; seed++ {
+		g := &game{world: newWorld(t, seed, 3), p: plan{Members: 3}}
+		g.r = newRules(g.world)
+		g.run(5 * time.Second)
+		g.r.work(g.now + 10*time.Second)
+		e := g.ms["m0"].board.Epoch(0)
+		g.ms["m0"].kill()
+		for _, a := range []string{"m1", "m2"} {
+			b := g.ms[a].board
+			b.OnHand(&trunk.HandReq{Head: &trunk.Head{From: &trunk.Member{Id: "founder-m0", Addr: "m0"}, To: b.Me().Id, Membership: 1}, Marks: []*trunk.Mark{{Epoch: e}}, Successor: b.Me().Id})
+		}
+		g.run(g.now + 4*time.Second)
+		var epochs []uint64
+		for _, a := range []string{"m1", "m2"} {
+			epochs = append(epochs, g.ms[a].board.Epoch(0))
+		}
+		qt.Check(t, epochs[0], qt.Equals, epochs[1], qt.Commentf("seed %d", seed))
+	}
+}
--- a/internal/exchange/worlds_test.go
+++ b/internal/exchange/worlds_test.go
@@ -68,9 +68,11 @@
 	Places  [][]step
 	// AllDown are the moments at which every process is killed.
 	AllDown []time.Duration
-	Loss    float64
-	Late    float64
-	Twice   float64
+	// Aimed: they are killed as soon as a change has been acknowledged.
+	Aimed bool
+	Loss  float64
+	Late  float64
+	Twice float64
 	// Closing wipes as many as may be lost while all others are killed.
 	Closing bool
 }
@@ -102,6 +104,7 @@
 		p.Loss = rapid.SampledFrom([]float64{0, 0, 0, 0.02}).Draw(t, "loss")
 		p.Late = rapid.SampledFrom([]float64{0, 0, 0.02}).Draw(t, "late")
 		p.Twice = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "twice")
+		p.Aimed = rapid.Bool().Draw(t, "aimed")
 		p.Closing = rapid.Bool().Draw(t, "closing")
 		return p
 	})
@@ -143,7 +146,13 @@
 		g.place(i, row)
 	}
 	for _, d := range p.AllDown {
-		g.at(d, g.allDown)
+		g.at(d, func() {
+			if !p.Aimed {
+				g.allDown()
+				return
+			}
+			g.r.onAck = g.allDown
+		})
 	}
 	g.watchOver()
 	for g.left > 0 && g.now < begin+4*time.Minute {
@@ -431,6 +440,7 @@
 // allDown kills all processes at once; they come back within a second, but for
 // those that are down for another reason.
 func (g *game) allDown() {
+	g.r.onAck = nil
 	g.downs++
 	g.event("all down")
 	for _, m := range g.all() {
