--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -216,19 +217,45 @@
 	return r, nil
 }
 
+const (
+	followWait = 400 * time.Millisecond
+	followStep = 20 * time.Millisecond
+)
+
+// await asks the board again and again, for a while after a takeover, until f
+// holds or never will.
+func (c *coreNode) await(ctx context.Context, f func() (done, never bool)) bool {
+	for end := time.Now().Add(followWait); ; {
+		var never bool
+		done, _ := exchange.Ask(c.loop, func() (d bool) {
+			d, never = f()
+			return d
+		})
+		if done || never || time.Now().After(end) || ctx.Err() != nil {
+			return done
+		}
+		time.Sleep(followStep)
+	}
+}
+
+func holds(t exchange.Table, k *trunk.Kept) bool {
+	return t.Blob(desk.ConfigBlob).GetVersion() == k.GetConfig() && t.Blob(viewBlob).GetVersion() == k.GetView()
+}
+
 var errNotMine = errors.New("not the master that this member follows")
 
 // Relay brings what the master sends to some of its nodes, while this member's
 // lease to it runs: one that was cut off or frozen is not spoken for.
 func (c *coreNode) Relay(ctx context.Context, q *trunk.RelayReq) (*trunk.RelayResp, error) {
 	epoch := max(q.GetPoll().GetEpoch(), q.GetView().GetEpoch(), q.GetConfig().GetEpoch())
-	if now, _ := exchange.Ask(c.loop, func() bool { return c.board.Follows(0, epoch) }); !now {
+	if !c.await(ctx, func() (done, never bool) { return c.board.Follows(0, epoch), c.board.Promised(0) > epoch }) {
 		return nil, errNotMine
 	}
-	var b supervisor.Bundle
-	if q.Kept != nil {
-		b = c.bundle(q.Kept)
-	}
+	b := sync.OnceValue(func() supervisor.Bundle {
+		// The copy may be about to come.
+		c.await(ctx, func() (bool, bool) { return holds(c.board.Table(0), q.Kept), false })
+		return c.bundle(q.Kept)
+	})
 	return supervisor.Relay(ctx, c.lines, q, b), nil
 }
 
--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -579,6 +579,9 @@
 	return s.promised == epoch && b.now() < s.leasedUntil
 }
 
+// Promised is the epoch under which this member last promised the shard.
+func (b *Board) Promised(i int) uint64 { return b.shards[i].promised }
+
 // Epoch0 is the epoch under which this member last served shard 0.
 func (b *Board) Epoch0() uint64 { return b.epoch.Load() }
 
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -24,7 +24,7 @@
 
 // Relay brings a request of the master's to several nodes and gathers what they
 // say. It keeps nothing: order and epochs are the nodes' to check.
-func Relay(ctx context.Context, lines *trunk.Lines, q *trunk.RelayReq, x Bundle) *trunk.RelayResp {
+func Relay(ctx context.Context, lines *trunk.Lines, q *trunk.RelayReq, x func() Bundle) *trunk.RelayResp {
 	acks := make(chan *trunk.RelayAck, len(q.To))
 	sem := make(chan bool, relayOnce)
 	go func() {
@@ -65,14 +65,14 @@
 	}
 }
 
-func relayed(n trunk.Node, to *trunk.RelayTo, q *trunk.RelayReq, x Bundle) *trunk.RelayAck {
+func relayed(n trunk.Node, to *trunk.RelayTo, q *trunk.RelayReq, x func() Bundle) *trunk.RelayAck {
 	a := &trunk.RelayAck{Name: to.Name}
 	var err error
 	switch {
 	case q.Poll != nil:
 		a.Poll, err = trunk.Call(relayMost, n.Poll, &trunk.PollReq{Epoch: q.Poll.Epoch, NextMs: q.Poll.NextMs, Name: to.Name, Last: to.Last})
 		if err == nil && !a.Poll.GetStale() {
-			x.fill(n, to, q, a.Poll.GetNode())
+			fill(n, to, q, a.Poll.GetNode(), x)
 		}
 	case q.View != nil:
 		a.View, err = trunk.Call(relayMost, n.Publish, &trunk.ViewReq{To: to.Name, Packed: q.View.Packed, Epoch: q.View.Epoch})
@@ -91,11 +91,12 @@
 
 // fill gives a node that has just started what it lacks, and notes that it has
 // it now.
-func (x Bundle) fill(n trunk.Node, to *trunk.RelayTo, q *trunk.RelayReq, s *trunk.NodeState) {
+func fill(n trunk.Node, to *trunk.RelayTo, q *trunk.RelayReq, s *trunk.NodeState, bundle func() Bundle) {
 	k := q.Kept
-	if s == nil || k == nil {
+	if s == nil || k == nil || s.ConfigVersion > 0 && s.ViewVersion > 0 {
 		return
 	}
+	x := bundle()
 	if s.ConfigVersion == 0 && x.Config != nil {
 		r, err := trunk.Call(2*relayMost, n.Deliver, &trunk.DeliverReq{Epoch: q.Poll.Epoch, Version: k.Config, Data: x.Config, To: to.Name})
 		if err == nil && r.Ok {
@@ -199,7 +200,7 @@
 	n := m.lines.Node(to.Addr)
 	done := p.done[to.Name]
 	go func() {
-		a := relayed(n, to, p.req, m.bundle(p.req.Kept))
+		a := relayed(n, to, p.req, func() Bundle { return m.bundle(p.req.Kept) })
 		m.Loop.Put(func() { done(a) })
 	}()
 }
--- a/internal/supervisor/relay_test.go
+++ b/internal/supervisor/relay_test.go
@@ -37,7 +37,7 @@
 		<-ctx.Done()
 		return nil, errCut
 	}
-	return Relay(ctx, r.lines, q, r.bundle), nil
+	return Relay(ctx, r.lines, q, func() Bundle { return r.bundle }), nil
 }
 
 func (r *relayer) Hello(context.Context, *trunk.HelloReq) (*trunk.HelloResp, error) {
