--- a/internal/exchange/sim_test.go
+++ b/internal/exchange/sim_test.go
@@ -84,6 +84,8 @@
 	names []string
 	// told are the seeds of all that start later, if set.
 	told []string
+	// sync is how long a sound disk takes for a sync.
+	sync time.Duration
 	// plain is a member that knows no raises; copies counts the copies sent.
 	plain  string
 	copies int
@@ -104,7 +106,7 @@
 var seeds = flag.Int64("seeds", 60, "how many orders of events to try")
 
 func newWorld(t tester, seed int64, n int) *world {
-	w := &world{t: t, rng: rand.New(rand.NewSource(seed)), ms: map[string]*machine{}, cut: map[[2]string]bool{}, mute: map[string]bool{}, deaf: map[string]bool{}, n: n}
+	w := &world{t: t, rng: rand.New(rand.NewSource(seed)), ms: map[string]*machine{}, cut: map[[2]string]bool{}, mute: map[string]bool{}, deaf: map[string]bool{}, n: n, sync: 2 * time.Millisecond}
 	for i := 0; i < n; i++ {
 		w.names = append(w.names, fmt.Sprintf("m%d", i))
 	}
@@ -162,7 +164,7 @@
 }
 
 func (w *world) add(addr string, first bool) *machine {
-	m := &machine{w: w, addr: addr, sync: 2 * time.Millisecond, first: first}
+	m := &machine{w: w, addr: addr, sync: w.sync, first: first}
 	w.ms[addr], m.came = m, w.now
 	if !slices.Contains(w.names, addr) {
 		w.names = append(w.names, addr)
@@ -171,6 +173,14 @@
 	return m
 }
 
+// syncs sets how long all disks take for a sync.
+func (w *world) syncs(d time.Duration) {
+	w.sync = d
+	for _, m := range w.all() {
+		m.sync = d
+	}
+}
+
 // all are the machines in the order in which they came.
 func (w *world) all() []*machine {
 	var out []*machine
--- a/internal/exchange/worlds_test.go
+++ b/internal/exchange/worlds_test.go
@@ -101,6 +101,7 @@
 		for range rapid.IntRange(0, 2).Draw(t, "all down") {
 			p.AllDown = append(p.AllDown, dur(t, "at", 3*time.Second, 30*time.Second))
 		}
+		p.Sync = rapid.SampledFrom([]time.Duration{2 * time.Millisecond, 500 * time.Microsecond, 12 * time.Millisecond}).Draw(t, "sync")
 		p.Loss = rapid.SampledFrom([]float64{0, 0, 0, 0.02}).Draw(t, "loss")
 		p.Late = rapid.SampledFrom([]float64{0, 0, 0.02}).Draw(t, "late")
 		p.Twice = rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "twice")
@@ -129,6 +130,9 @@
 
 func play(t tester, p plan) *game {
 	g := &game{world: newWorld(t, p.Seed, p.Members), p: p, taken: map[string]bool{}}
+	if p.Sync > 0 {
+		g.syncs(p.Sync)
+	}
 	g.loss, g.late, g.twice = p.Loss, p.Late, p.Twice
 	g.r = newRules(g.world)
 	g.r.gentle = true
@@ -368,7 +372,7 @@
 			end(s.For, m.thaw)
 		case slowDisk:
 			m.sync *= 30
-			end(s.For, func() { m.sync = 2 * time.Millisecond })
+			end(s.For, func() { m.sync = g.sync })
 		case stuckDisk:
 			m.stuck = true
 			end(s.For, func() { m.stuck = false })
