--- a/internal/exchange/worlds_test.go
+++ b/internal/exchange/worlds_test.go
@@ -70,6 +70,8 @@
 	AllDown []time.Duration
 	// Aimed: they are killed as soon as a change has been acknowledged.
 	Aimed bool
+	// Sync is how long a disk takes for one.
+	Sync  time.Duration
 	Loss  float64
 	Late  float64
 	Twice float64
