--- a/internal/exchange/worlds_test.go
+++ b/internal/exchange/worlds_test.go
@@ -691,3 +691,28 @@
 		}
 	}
 }
+
+// The next loss may come the moment a leaver has ended: its successor counts by
+// then, and the leaver no more.
+func TestLeaverStaysUntilItsSuccessorIsIn(t *testing.T) {
+	for seed := int64(1); seed <= 12; seed++ {
+		g := &game{world: newWorld(t, seed, 3), p: plan{Members: 3}, taken: map[string]bool{}}
+		g.r = newRules(g.world)
+		g.run(5 * time.Second)
+		g.r.work(g.now + time.Minute)
+		g.successor()
+		g.run(g.now + catchUp - 100*time.Millisecond)
+		ms, i := g.all(), g.rng.Intn(3)
+		gone := false
+		g.leave(ms[i], func() { gone = true })
+		for !gone {
+			g.run(g.now + 10*time.Millisecond)
+		}
+		ms[(i+1)%3].kill()
+		before := g.r.served
+		g.run(g.now + 3*time.Second)
+		if g.owners() != simShards || g.r.served < before+20 {
+			g.r.broken("%d shards are owned after the next loss, %d calls served", g.owners(), g.r.served-before)
+		}
+	}
+}
