One test of who is in touch; the gone and the leaving looked up once; rank reuses its list

Read over at the end: the same condition stood in four places; decide looked for the unreached member twice; rank allocated a list at each tick where it had not before. Behaviour as before.

--- a/internal/exchange/board.go
+++ b/internal/exchange/board.go
@@ -387,9 +387,12 @@
 		return true
 	}
 	p := b.peers[id]
-	return p != nil && p.ever && b.now()-p.heard < b.o.Lease
+	return p != nil && b.inTouch(p)
 }
 
+// inTouch tells that the other has been heard within a lease.
+func (b *Board) inTouch(p *peer) bool { return p.ever && b.now()-p.heard < b.o.Lease }
+
 func (b *Board) ready(id string) bool {
 	if id == b.me.Id {
 		return !b.diskBad && !b.stalled() && !b.leaving && b.member() && b.reach() >= b.majority()
@@ -398,7 +401,7 @@
 }
 
 func (b *Board) head(p *peer) *trunk.Head {
-	return &trunk.Head{From: b.me, To: p.m.Id, Deaf: !p.ever || b.now()-p.heard >= b.o.Lease, Membership: b.membership.Version, Sound: b.ready(b.me.Id), Leaving: b.leaving}
+	return &trunk.Head{From: b.me, To: p.m.Id, Deaf: !b.inTouch(p), Membership: b.membership.Version, Sound: b.ready(b.me.Id), Leaving: b.leaving}
 }
 
 // disk
@@ -555,7 +558,7 @@
 	l.Owned, l.Committed, l.LeaseMs = true, s.commit, int64(max(s.lease-b.now(), 0)/time.Millisecond)
 	whole := 1
 	for _, p := range b.others() {
-		c := &trunk.CopyLine{Addr: p.m.Addr, Learner: b.peers[p.m.Id] == nil, Reached: p.ever && b.now()-p.heard < b.o.Lease, Sound: p.sound, Leaving: p.leaving,
+		c := &trunk.CopyLine{Addr: p.m.Addr, Learner: b.peers[p.m.Id] == nil, Reached: b.inTouch(p), Sound: p.sound, Leaving: p.leaving,
 			Known: p.known[s.ix] == s.epoch}
 		if c.Behind = s.version; c.Known {
 			c.Behind = s.version - min(p.acked[s.ix], s.version)
@@ -595,7 +598,7 @@
 func (b *Board) noteReached() {
 	m := map[string]bool{}
 	for _, p := range b.line {
-		if b.alive(p.m.Id) {
+		if b.inTouch(p) {
 			m[p.m.Addr] = true
 		}
 	}
--- a/internal/exchange/members.go
+++ b/internal/exchange/members.go
@@ -178,6 +178,7 @@
 // about to leave goes after its successor has come.
 func (b *Board) decide() {
 	n, size := len(b.membership.Members), b.places()
+	lost, leaver := b.unreached(), b.leaver()
 	for _, j := range b.learners {
 		for _, m := range b.membership.Members {
 			if m.Addr == j.m.Addr && m.Id != b.me.Id {
@@ -187,10 +188,10 @@
 		}
 	}
 	if n > size {
-		if m := b.unreached(); m != nil {
-			b.drop(m, "unreached, and there is one too many")
-		} else if m := b.leaver(); m != nil {
-			b.drop(m, "leaves")
+		if lost != nil {
+			b.drop(lost, "unreached, and there is one too many")
+		} else if leaver != nil {
+			b.drop(leaver, "leaves")
 		}
 		return
 	}
@@ -203,9 +204,9 @@
 			b.admit(j, size)
 		case j.first:
 			b.admit(j, n+1)
-		case b.unreached() != nil:
-			b.drop(b.unreached(), "unreached, and a learner waits")
-		case b.leaver() != nil:
+		case lost != nil:
+			b.drop(lost, "unreached, and a learner waits")
+		case leaver != nil:
 			b.admit(j, size)
 		default:
 			continue
--- a/internal/exchange/serve.go
+++ b/internal/exchange/serve.go
@@ -171,7 +171,7 @@
 // rank puts first the peers whose copies make a majority: sound ones, by
 // preference of this zone.
 func (b *Board) rank() {
-	b.near = slices.Clone(b.line)
+	b.near = append(b.near[:0], b.line...)
 	cost := func(p *peer) int {
 		n := 0
 		if !b.ready(p.m.Id) {
