--- a/review/harness/mesh.go
+++ b/review/harness/mesh.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 )
 
 // Mesh is a small deployment on loopback addresses.
@@ -21,6 +22,10 @@
 	// network is the second and third byte of the addresses.
 	network string
 	ports   ports
+
+	// mu guards closed, after which no process is started.
+	mu     sync.Mutex
+	closed bool
 }
 
 // ports are the ports of all processes, the same on each address.
@@ -162,6 +167,9 @@
 
 // Close kills all processes and removes the temporary folder.
 func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	for _, p := range append(append([]*Process(nil), m.Cores...), m.Sidecars...) {
 		p.Kill()
 	}
--- a/review/harness/process.go
+++ b/review/harness/process.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Process is one process of the system.
@@ -32,9 +34,17 @@
 	crashes int
 }
 
+// errClosed reports that the case has ended, so that no process may be started.
+var errClosed = errors.New("the mesh is closed")
+
 // Start starts the process with the command of the deploy file. The process must not
 // be running.
 func (p *Process) Start() error {
+	p.mesh.mu.Lock()
+	defer p.mesh.mu.Unlock()
+	if p.mesh.closed {
+		return errClosed
+	}
 	log, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -166,3 +176,38 @@
 	}
 	return ErrTimeout
 }
+
+// LimitDescriptors gives the running process the limit on open descriptors that the
+// platform gives it.
+func (p *Process) LimitDescriptors(n uint64) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: n, Max: n}, nil)
+}
+
+// errFewDescriptors reports that this process may not open enough descriptors.
+var errFewDescriptors = errors.New("the hard limit on open descriptors is too low for the case")
+
+// NeedDescriptors returns an error if the process of the case itself may not open n
+// descriptors.
+func NeedDescriptors(n uint64) error {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return err
+	}
+	if limit.Cur < n {
+		return errFewDescriptors
+	}
+	return nil
+}
+
+// Descriptors returns how many descriptors the running process has open.
+func (p *Process) Descriptors() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return -1
+	}
+	return len(entries)
+}
