shutdown: log its start and the requests that it cancels

Change: "shutting down" with the grace period and the requests in flight; "canceled pending requests" with chain, count, and the newest request's route, age and remaining time. A process that canceled requests writes its last log lines before it exits.

--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -49,7 +49,7 @@
 	go reportFailures(node)
 
 	node.waitForStop()
-	node.shutdown(outbound, edgeMaxLinger).Run()
+	node.runShutdown(node.shutdown(outbound, edgeMaxLinger))
 	return nil
 }
 
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -84,7 +84,7 @@
 	s.waitForStop()
 	shutdown := s.shutdown(s.outbound, sidecarMaxLinger)
 	shutdown.Inbound, shutdown.StopInbound = s.inbound, s.stopInbound
-	shutdown.Run()
+	s.runShutdown(shutdown)
 	return nil
 }
 
--- a/cmd/corkcove/trafficnode.go
+++ b/cmd/corkcove/trafficnode.go
@@ -201,5 +201,13 @@
 // continues only while requests are in flight.
 func (n *trafficNode) shutdown(outbound *proxy.Outbound, maxLinger time.Duration) proxy.Shutdown {
 	grace := settings.Seconds(n.options.Requirements.Bounds.GraceSeconds)
-	return proxy.Shutdown{Grace: grace, Linger: min(grace/2, maxLinger), Outbound: outbound}
+	return proxy.Shutdown{Grace: grace, Linger: min(grace/2, maxLinger), Outbound: outbound, Log: n.log("shutdown")}
+}
+
+// runShutdown runs the shutdown. If it canceled requests, it writes the log entries
+// out, because the process exits afterwards.
+func (n *trafficNode) runShutdown(s proxy.Shutdown) {
+	if s.Run() > 0 {
+		n.logRing.Flush("requests canceled at shutdown")
+	}
 }
--- a/internal/proxy/pending.go
+++ b/internal/proxy/pending.go
@@ -17,9 +17,18 @@
 
 // pendingRequest is an accepted request whose response has not started.
 type pendingRequest struct {
-	route   string
-	started time.Time
-	cancel  context.CancelCauseFunc
+	// route is the name of the request's route; empty in the inbound chain.
+	route    string
+	started  time.Time
+	deadline time.Time
+	cancel   context.CancelCauseFunc
+}
+
+// canceledRequests describes the requests that cancelAll canceled.
+type canceledRequests struct {
+	count int
+	// newest is the request that was accepted last; nil if count is 0.
+	newest *pendingRequest
 }
 
 // pendingRequests is the set of a chain's requests whose responses have not
@@ -38,7 +47,7 @@
 func (p *pendingRequests) add(parent context.Context, route string, deadline time.Time) (context.Context, *pendingRequest, func()) {
 	cancelCtx, cancel := context.WithCancelCause(parent)
 	ctx, stop := context.WithDeadline(cancelCtx, deadline)
-	request := &pendingRequest{route: route, started: time.Now(), cancel: cancel}
+	request := &pendingRequest{route: route, started: time.Now(), deadline: deadline, cancel: cancel}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.requests == nil {
@@ -78,12 +87,18 @@
 }
 
 // cancelAll cancels the contexts of all pending and later requests, so that their
-// handlers can still write a complete response before the process exits.
-func (p *pendingRequests) cancelAll() {
+// handlers can still write a complete response before the process exits. It returns
+// the requests that were pending.
+func (p *pendingRequests) cancelAll() canceledRequests {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.canceled = true
+	canceled := canceledRequests{count: len(p.requests)}
 	for request := range p.requests {
 		request.cancel(errShutdown)
+		if canceled.newest == nil || request.started.After(canceled.newest.started) {
+			canceled.newest = request
+		}
 	}
+	return canceled
 }
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"corkcove/internal/logring"
 )
 
 const (
@@ -48,6 +50,8 @@
 	// StopInbound stops the admission of requests to that endpoint. It is not called
 	// if Inbound is nil.
 	StopInbound func()
+	// Log receives the shutdown's log entries.
+	Log logring.Logger
 }
 
 // shutdownStage is an action that a shutdown performs at a given time.
@@ -59,10 +63,12 @@
 
 // Run performs the shutdown and returns when the process should exit: once Linger has
 // passed and no request is in flight, but at the latest about exitMargin before the end
-// of the grace period. It must be called right after the SIGTERM.
-func (s Shutdown) Run() {
+// of the grace period. It must be called right after the SIGTERM. It returns how many
+// requests it canceled because their endpoints had not responded in time.
+func (s Shutdown) Run() (canceled int) {
 	start := time.Now()
-	stages := s.stages(start)
+	s.Log.Info("shutting down", "grace", s.Grace, "inFlight", s.Outbound.InFlight.Load())
+	stages := s.stages(start, &canceled)
 	for {
 		elapsed := time.Since(start)
 		for len(stages) > 0 && elapsed >= stages[0].at {
@@ -75,26 +81,42 @@
 		time.Sleep(shutdownPollInterval)
 	}
 	time.Sleep(shutdownPollInterval)
+	return canceled
 }
 
-// stages returns the actions of the shutdown, ordered by time.
-func (s Shutdown) stages(start time.Time) []shutdownStage {
+// stages returns the actions of the shutdown, ordered by time. They add the number of
+// requests that they cancel to canceled.
+func (s Shutdown) stages(start time.Time, canceled *int) []shutdownStage {
 	finalReplyAt := s.Grace - finalReplyMargin
 	stages := []shutdownStage{
 		{0, s.Outbound.Drain},
 		{selectiveAcceptDelay, func() { s.Outbound.RequireCompletionBy(start.Add(finalReplyAt)) }},
 		{s.Grace - stopAcceptingMargin, s.Outbound.StopAccepting},
-		{finalReplyAt, s.Outbound.pending.cancelAll},
+		{finalReplyAt, func() { *canceled += s.cancelPending("outbound", &s.Outbound.pending) }},
 	}
 	if s.Inbound != nil {
 		stages = append(stages,
 			shutdownStage{s.Linger - inboundStopMargin, s.stopInbound},
-			shutdownStage{finalReplyAt, s.Inbound.pending.cancelAll})
+			shutdownStage{finalReplyAt, func() { *canceled += s.cancelPending("inbound", &s.Inbound.pending) }})
 	}
 	slices.SortStableFunc(stages, func(a, b shutdownStage) int { return cmp.Compare(a.at, b.at) })
 	return stages
 }
 
+// cancelPending cancels a chain's pending requests and returns how many there were. It
+// logs that number, the age of the newest request and the time that this one had left
+// until its deadline.
+func (s Shutdown) cancelPending(chain string, pending *pendingRequests) int {
+	canceled := pending.cancelAll()
+	if canceled.count == 0 {
+		return 0
+	}
+	newest := canceled.newest
+	s.Log.Warn("canceled pending requests", "chain", chain, "count", canceled.count, "route", newest.route,
+		"newestAge", time.Since(newest.started), "remaining", time.Until(newest.deadline))
+	return canceled.count
+}
+
 // stopInbound stops the admission of requests to the endpoint and asks other nodes to
 // stop using their connections to this one.
 func (s Shutdown) stopInbound() {
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -12,6 +12,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corkcove/internal/logring"
 	"corkcove/internal/proxy/localreply"
 )
 
@@ -26,6 +27,8 @@
 	quickWork = 20 * time.Millisecond
 	// longWork keeps a node in service beyond its linger time.
 	longWork = 2500 * time.Millisecond
+	// testLogCapacity is the number of log entries that a rig keeps.
+	testLogCapacity = 16
 	// stuckWork is longer than any request's deadline and any grace period.
 	stuckWork = 30 * time.Second
 )
@@ -51,6 +54,10 @@
 	started time.Time
 	// exited receives the time that the shutdown took.
 	exited chan time.Duration
+	// canceled is the result of Shutdown.Run, set before exited receives.
+	canceled int
+	// logRing has the log entries of the shutdown.
+	logRing *logring.Ring
 }
 
 // shutdownNodes creates each kind of node whose outbound chain is shut down.
@@ -81,7 +88,7 @@
 			respond(w, r, body)
 		}
 	}
-	return &shutdownRig{testMesh: m, exited: make(chan time.Duration, 1)}
+	return &shutdownRig{testMesh: m, exited: make(chan time.Duration, 1), logRing: logring.New(testLogCapacity, time.Second, nil)}
 }
 
 // close closes the network and waits for the endpoints' work to end.
@@ -95,7 +102,8 @@
 func (rig *shutdownRig) terminate(s Shutdown) {
 	rig.started = time.Now()
 	go func() {
-		s.Run()
+		s.Log = rig.logRing.Logger("shutdown")
+		rig.canceled = s.Run()
 		rig.exited <- time.Since(rig.started)
 		rig.network.CloseConnections()
 	}()
@@ -234,6 +242,14 @@
 			qt.Assert(t, got.headers.Get("Retry-After"), qt.Equals, "")
 			qt.Assert(t, time.Since(rig.started) >= testGrace-finalReplyMargin, qt.IsTrue)
 			qt.Assert(t, <-rig.exited < testGrace-exitMargin, qt.IsTrue)
+			qt.Assert(t, rig.canceled, qt.Equals, 1)
+			entries := rig.logRing.Entries()
+			qt.Assert(t, entries, qt.HasLen, 2)
+			qt.Assert(t, entries[0].Message, qt.Equals, "shutting down")
+			qt.Assert(t, entries[1].Message, qt.Equals, "canceled pending requests")
+			// The request was sent 3.2 s after the SIGTERM and its route's timeout is 3 s.
+			qt.Assert(t, entries[1].KeysAndValues, qt.DeepEquals, []any{"chain", "outbound", "count", 1, "route", strings.Trim(path, "/"),
+				"newestAge", 2460 * time.Millisecond, "remaining", 540 * time.Millisecond})
 		})
 	}
 }
