shutdown: limit late requests by the clock, a quota period early

Cause: the limit came into force 2.95 s after the process noticed the SIGTERM, by a stage that runs when its goroutine is woken. A processor quota may hold the process up for nearly 100 ms when the signal comes; the margin was 50 ms. Change: the chain gets the limit at the start of the shutdown with the time after which it applies, 2.9 s, and each request is judged by the clock. Test: TestShutdownRefusesLateRequestsAfterALateSignal (the signal noticed 100 ms late, a request at 3.001 s) fails on the code before on edge and sidecar (200, want 503).

--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -68,9 +68,8 @@
 
 	draining atomic.Bool
 	stopped  atomic.Bool
-	// completeBy is the time before which the deadlines of newly accepted requests
-	// must lie; nil unless RequireCompletionBy was called.
-	completeBy     atomic.Pointer[time.Time]
+	// lateLimit is nil unless RequireCompletionBy was called.
+	lateLimit      atomic.Pointer[lateRequestLimit]
 	pending        pendingRequests
 	routeStats     routeStats
 	serviceHistory serviceHistory
@@ -90,15 +89,26 @@
 // answered before the process exits.
 func (o *Outbound) StopAccepting() { o.stopped.Store(true) }
 
-// RequireCompletionBy makes the chain refuse further requests unless their deadlines
-// are before the given time.
-func (o *Outbound) RequireCompletionBy(completeBy time.Time) { o.completeBy.Store(&completeBy) }
+// lateRequestLimit restricts which requests a chain accepts late in a shutdown.
+type lateRequestLimit struct {
+	// from is the time after which the limit applies.
+	from time.Time
+	// completeBy is the time before which the requests' deadlines must lie.
+	completeBy time.Time
+}
+
+// RequireCompletionBy makes the chain refuse requests after the time from unless their
+// deadlines are before completeBy.
+func (o *Outbound) RequireCompletionBy(from, completeBy time.Time) {
+	o.lateLimit.Store(&lateRequestLimit{from: from, completeBy: completeBy})
+}
 
-// completesInTime reports whether a request is certain to end before completeBy. Only
-// its deadline makes that certain: any endpoint may take longer than all before it.
+// completesInTime reports whether a request may be accepted now under the limit of
+// RequireCompletionBy: whether it is certain to end before completeBy. Only its deadline
+// makes that certain, because any endpoint may take longer than all before it.
 func (o *Outbound) completesInTime(deadline time.Time) bool {
-	completeBy := o.completeBy.Load()
-	return completeBy == nil || deadline.Before(*completeBy)
+	limit := o.lateLimit.Load()
+	return limit == nil || deadline.Before(limit.completeBy) || !time.Now().After(limit.from)
 }
 
 // outboundFilters are the steps that handle a request, in order. A filter returns
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -16,12 +16,14 @@
 	// inboundStopMargin is how long before the end of the linger time the inbound chain
 	// stops admitting requests.
 	inboundStopMargin = 500 * time.Millisecond
-	// selectiveAcceptDelay is the time after the SIGTERM from which on the outbound
+	// selectiveAcceptDelay is the time after the SIGTERM after which the outbound
 	// chain accepts only requests whose deadlines come before the final replies. A
 	// missing response is excused as the endpoint's failure only if the request was sent
-	// within 3 s of the SIGTERM; the 50 ms allow for the time until the signal reaches
-	// this process.
-	selectiveAcceptDelay = 3*time.Second - 50*time.Millisecond
+	// within 3 s of the SIGTERM.
+	selectiveAcceptDelay = 3*time.Second - signalDelayMargin
+	// signalDelayMargin allows for the time until this process notices the SIGTERM. A
+	// processor quota may hold it up for nearly a whole period of 100 ms.
+	signalDelayMargin = 100 * time.Millisecond
 	// stopAcceptingMargin is how long before the end of the grace period the outbound
 	// chain stops accepting requests.
 	stopAcceptingMargin = 1800 * time.Millisecond
@@ -90,8 +92,10 @@
 func (s Shutdown) stages(start time.Time, canceled *int) []shutdownStage {
 	finalReplyAt := s.Grace - finalReplyMargin
 	stages := []shutdownStage{
-		{0, s.Outbound.Drain},
-		{selectiveAcceptDelay, func() { s.Outbound.RequireCompletionBy(start.Add(finalReplyAt)) }},
+		{0, func() {
+			s.Outbound.RequireCompletionBy(start.Add(selectiveAcceptDelay), start.Add(finalReplyAt))
+			s.Outbound.Drain()
+		}},
 		{s.Grace - stopAcceptingMargin, s.Outbound.StopAccepting},
 		{finalReplyAt, func() { *canceled += s.cancelPending("outbound", &s.Outbound.pending) }},
 	}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -31,6 +31,8 @@
 	quickWork = 20 * time.Millisecond
 	// longWork keeps a node in service beyond its linger time.
 	longWork = 2500 * time.Millisecond
+	// quotaPeriod is the period of a processor quota.
+	quotaPeriod = 100 * time.Millisecond
 	// testLogCapacity is the number of log entries that a rig keeps.
 	testLogCapacity = 16
 	// stuckWork is longer than any request's deadline and any grace period.
@@ -56,8 +58,10 @@
 	*testMesh
 	// sent counts the requests sent, for their IDs.
 	sent atomic.Int64
-	// started is when the shutdown started.
+	// started is when the SIGTERM came.
 	started time.Time
+	// signalDelay is how long the process does not notice the SIGTERM.
+	signalDelay time.Duration
 	// exited receives the time that the shutdown took.
 	exited chan time.Duration
 	// canceled is the result of Shutdown.Run, set before exited receives.
@@ -108,6 +112,7 @@
 func (rig *shutdownRig) terminate(s Shutdown) {
 	rig.started = time.Now()
 	go func() {
+		time.Sleep(rig.signalDelay)
 		s.Log = rig.logRing.Logger("shutdown")
 		rig.canceled = s.Run()
 		rig.exited <- time.Since(rig.started)
@@ -290,6 +295,19 @@
 	}
 }
 
+// Guards against late requests that are accepted because a processor quota has held the
+// process up, for one period at most, when the SIGTERM came.
+func TestShutdownRefusesLateRequestsAfterALateSignal(t *testing.T) {
+	eachShutdownNode(t, func(t *testing.T, rig *shutdownRig) {
+		rig.signalDelay = quotaPeriod
+		rig.sigterm()
+		rig.sleepUntil(2800 * time.Millisecond)
+		go rig.send(testRequest{path: "/e/", workTime: longWork})
+		rig.sleepUntil(3001 * time.Millisecond)
+		rig.assertRejected(t, testRequest{path: "/e/"})
+	})
+}
+
 func TestShutdownRefusesLateRequestsWhereOneIsStuck(t *testing.T) {
 	eachShutdownNode(t, func(t *testing.T, rig *shutdownRig) {
 		rig.sendQuickRequests(t, "/e/")
