shutdown: judge a late request again when its body is read

Found by reading the related paths. Cause: the deadline was compared with the end of the process when the header had come. The request was passed on when its body had, at any time up to its deadline. Change: a filter checkShutdown, before and after readBody. What was not passed on is refused with 503. Test: TestShutdownRefusesRequestsWhoseBodiesComeLate fails on the code before on edge and sidecar (504 from the shutdown, want 503).

--- a/internal/proxy/filters.go
+++ b/internal/proxy/filters.go
@@ -87,13 +87,10 @@
 const defaultTimeout = time.Minute
 
 // setDeadline applies the client's deadline and the route's timeout, whichever is
-// sooner. It rejects requests whose deadline is too late for a process that shuts down.
+// sooner.
 func (r *outboundRequest) setDeadline() (done bool) {
 	timeout := r.timeout()
 	r.deadline = r.started.Add(timeout)
-	if !r.outbound.completesInTime(r.deadline) {
-		return r.reply(localreply.NotReady)
-	}
 	r.firstSeen = r.outbound.routeStats.isFirstSeen(r.route.Name, timeout)
 	ctx, pending, release := r.outbound.pending.add(r.request.Context(), r.route.Name, r.deadline)
 	r.onClose(release)
@@ -101,6 +98,15 @@
 	return false
 }
 
+// checkShutdown rejects requests whose deadlines are too late for a process that shuts
+// down.
+func (r *outboundRequest) checkShutdown() (done bool) {
+	if r.outbound.completesInTime(r.deadline) {
+		return false
+	}
+	return r.reply(localreply.NotReady)
+}
+
 // timeout returns the shorter of the client's and the route's timeouts, or
 // defaultTimeout if there is neither.
 func (r *outboundRequest) timeout() time.Duration {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -118,7 +118,10 @@
 	(*outboundRequest).matchRoute,
 	(*outboundRequest).applyPolicy,
 	(*outboundRequest).setDeadline,
+	(*outboundRequest).checkShutdown,
 	(*outboundRequest).readBody,
+	// The body may have taken until late in a shutdown.
+	(*outboundRequest).checkShutdown,
 	(*outboundRequest).pinSession,
 	(*outboundRequest).sendToEndpoints,
 }
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -51,6 +51,21 @@
 	deadline time.Duration
 	// id is the request's ID, by default a new one.
 	id string
+	// bodyTime is how long after the header the body is sent, if it is not 0.
+	bodyTime time.Duration
+}
+
+// body returns the request's body.
+func (r testRequest) body() io.Reader {
+	if r.bodyTime == 0 {
+		return strings.NewReader("")
+	}
+	reader, writer := io.Pipe()
+	time.AfterFunc(r.bodyTime, func() {
+		writeText(writer, "body")
+		closeQuietly(writer)
+	})
+	return reader
 }
 
 // shutdownRig is a node with endpoints whose shutdown is tested.
@@ -134,7 +149,7 @@
 	if request.path == "/p/" {
 		method = "GET"
 	}
-	r, _ := http.NewRequest(method, "http://"+cmp.Or(request.to, "out")+request.path, strings.NewReader(""))
+	r, _ := http.NewRequest(method, "http://"+cmp.Or(request.to, "out")+request.path, request.body())
 	r.Host = "a"
 	r.Header.Set(headerRequestID, cmp.Or(request.id, fmt.Sprint("request", rig.sent.Add(1))))
 	r.Header.Set(headerDeadline, formatMillis(cmp.Or(request.deadline, testDeadline)))
@@ -308,6 +323,24 @@
 	})
 }
 
+// Guards against requests that began in time but whose bodies came late, and that were
+// then canceled while the endpoint worked on them.
+func TestShutdownRefusesRequestsWhoseBodiesComeLate(t *testing.T) {
+	eachShutdownNode(t, func(t *testing.T, rig *shutdownRig) {
+		rig.sigterm()
+		rig.sleepUntil(2800 * time.Millisecond)
+		inTime := make(chan testResponse, 1)
+		go func() {
+			inTime <- rig.send(testRequest{path: "/e/", bodyTime: 400 * time.Millisecond, deadline: 2 * time.Second})
+		}()
+		got := rig.send(testRequest{path: "/e/", bodyTime: 400 * time.Millisecond, workTime: stuckWork})
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Assert(t, got.code, qt.Equals, 503)
+		qt.Assert(t, (<-inTime).code, qt.Equals, 200)
+		qt.Assert(t, rig.runs(), qt.Equals, int64(1))
+	})
+}
+
 func TestShutdownRefusesLateRequestsWhereOneIsStuck(t *testing.T) {
 	eachShutdownNode(t, func(t *testing.T, rig *shutdownRig) {
 		rig.sendQuickRequests(t, "/e/")
