signals: catch them before the start, stop and reload apart

Operators would see: a process that ends by itself after a SIGHUP, and one that serves on after SIGTERM until it is killed, with the requests of that moment. Cause: signal.Notify was called once the listeners served, for a core once its log was read; until then SIGHUP ends a process. All signals shared a channel of four, and Notify drops what does not fit: also a SIGTERM behind four SIGHUPs. Change: newProcess catches signals first. SIGTERM and SIGINT have one channel, SIGHUP another, each for one waiting signal, which stands for all of its kind.

--- a/cmd/corkcove/process.go
+++ b/cmd/corkcove/process.go
@@ -47,6 +47,26 @@
 	logRing      *logring.Ring
 	traceRing    *changetrace.Ring
 	startedAt    time.Time
+	// signals receives the signals to this process; see waitForStop.
+	signals signalChannels
+}
+
+// signalChannels holds a channel for each reaction to a signal. Each holds one signal:
+// further ones of its kind, while that one waits, ask for the same.
+type signalChannels struct {
+	// stop receives SIGTERM and SIGINT.
+	stop chan os.Signal
+	// reload receives SIGHUP.
+	reload chan os.Signal
+}
+
+// catchSignals keeps signals from ending the process, and returns the channels that
+// receive them.
+func catchSignals() signalChannels {
+	signals := signalChannels{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(signals.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals.reload, syscall.SIGHUP)
+	return signals
 }
 
 // runRole loads the settings of a role and runs the role until it exits.
@@ -68,8 +88,10 @@
 }
 
 // newProcess loads the settings, from the default path if the command line names
-// none, and creates the log and the trace.
+// none, and creates the log and the trace. It catches signals first, because SIGHUP
+// would end the process and may come while it starts.
 func newProcess(role string, global *globalOptions) (*process, error) {
+	signals := catchSignals()
 	file := global.settingsFile
 	if file == "" {
 		file = settings.Path()
@@ -83,7 +105,7 @@
 		observer = logring.WriteNow
 	}
 	return &process{settingsFile: file, role: role, options: options, logRing: logring.New(logCapacity, logFlushInterval, observer),
-		traceRing: changetrace.NewRing(traceCapacity), startedAt: time.Now()}, nil
+		traceRing: changetrace.NewRing(traceCapacity), startedAt: time.Now(), signals: signals}, nil
 }
 
 // limitMemory sets the Go runtime's soft memory limit to 60% of the memory that the
@@ -136,12 +158,12 @@
 
 // waitForStop blocks until SIGTERM or SIGINT. SIGHUP reloads the settings.
 func (p *process) waitForStop() {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range signals {
-		if s != syscall.SIGHUP {
+	for {
+		select {
+		case <-p.signals.stop:
 			return
+		case <-p.signals.reload:
+			p.reloadSettings()
 		}
-		p.reloadSettings()
 	}
 }
