replication: encode a change before it is applied, and refuse what can't be

Cause, the deeper half: the owner applied a change in memory and encoded it afterwards for its log, where an error was a panic on the mailbox's goroutine.

Change: propose encodes the entry first and returns ErrInvalidChange, which promises that nothing was done (400). Put decides on a group that is not part of the table. A record that can't be encoded for another reason counts as a failure of the disk, a membership is not proposed; no path panics. Test: TestChangeThatCannotBeEncodedChangesNothing, for keys, groups, values, locks, owners, counters, sessions and blobs; on the code before it ends by "panic: string field contains invalid UTF-8". With propose alone mended it fails for the group.

--- a/internal/controlapi/response.go
+++ b/internal/controlapi/response.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"corkcove/internal/coordination"
+	"corkcove/internal/replication"
 )
 
 // status is the outcome of a request, independent of HTTP. See httpStatuses.
@@ -143,6 +144,8 @@
 		return response{status: statusLockConflict}
 	case errors.Is(err, coordination.ErrNotFound):
 		return response{status: statusNotFound}
+	case errors.Is(err, replication.ErrInvalidChange):
+		return response{status: statusMalformed}
 	case errors.Is(err, coordination.ErrCompacted):
 		return response{status: statusCompacted}
 	}
--- a/internal/coordination/cells.go
+++ b/internal/coordination/cells.go
@@ -72,7 +72,7 @@
 // key, the request is taken for a repetition of that put, whatever expected is:
 // nothing is written, and the result is the revision of that put.
 func (t *Table) Put(name, payload string, expected *uint64, now time.Duration) Decision[Cell] {
-	group := t.cells.group(GroupName(name))
+	group := t.cells.find(GroupName(name))
 	if revision, found := group.findPut(name, payload); found {
 		return Decision[Cell]{Result: Cell{Revision: revision}, AlreadyApplied: true}
 	}
@@ -133,6 +133,14 @@
 	return Decision[EventList]{Result: list}
 }
 
+// find returns the group with that name, or an empty one that is not part of the table.
+func (t *cellTable) find(name string) *keyGroup {
+	if group := t.groups[name]; group != nil {
+		return group
+	}
+	return &keyGroup{}
+}
+
 // group returns the group with that name, which it creates if there is none.
 func (t *cellTable) group(name string) *keyGroup {
 	group := t.groups[name]
--- a/internal/replication/commit.go
+++ b/internal/replication/commit.go
@@ -35,7 +35,8 @@
 // callback is called once, possibly before Execute returns. It gets nil when everything
 // that function read and changed is committed; a call without a change also needs the
 // lease to be valid at that time. Otherwise it gets ErrNotOwner or ErrUnavailable, which
-// promise that nothing was done, or ErrOutcomeUnknown. A call that isn't decided within
+// promise that nothing was done, ErrInvalidChange, which promises the same but for any
+// member, or ErrOutcomeUnknown. A call that isn't decided within
 // RequestTimeout fails at the next tick.
 func (r *Replica) Execute(shard int, function func(content StateMachine, now time.Duration) *meshpb.Change, callback func(error)) {
 	s := r.shards[shard]
@@ -50,7 +51,10 @@
 	}
 	change := function(s.stateMachine, now)
 	if change != nil {
-		r.propose(s, change)
+		if err := r.propose(s, change); err != nil {
+			callback(err)
+			return
+		}
 	}
 	s.ownership.pending = append(s.ownership.pending, pendingCall{
 		version:  s.log.version,
@@ -63,12 +67,19 @@
 }
 
 // propose appends the change to the owner's log as a new entry and replicates it to the
-// preferred peers.
-func (r *Replica) propose(s *shard, change *meshpb.Change) {
+// preferred peers. If the change cannot be encoded, propose does nothing and returns an
+// error that wraps ErrInvalidChange.
+func (r *Replica) propose(s *shard, change *meshpb.Change) error {
 	entry := &meshpb.Entry{Shard: uint32(s.id), Epoch: s.log.epoch, Version: s.log.version + 1, Change: change}
+	// An entry that is applied must be encodable, or it could neither be stored nor sent.
+	data, err := encodeRecord(&meshpb.Record{Entry: entry})
+	if err != nil {
+		r.options.Log.Warn("refused a change that cannot be encoded", "shard", s.id, "error", err)
+		return ErrInvalidChange
+	}
 	s.append(entry, r.now())
 	r.reportEntryProgress(ProgressProposed, s, entry.Epoch, entry.Version, change)
-	r.persist(&meshpb.Record{Entry: entry}, func(err error) {
+	r.persistEncoded(data, func(err error) {
 		if err == nil && s.log.epoch == entry.Epoch && s.log.synced+1 >= entry.Version {
 			s.log.recordSynced(entry.Version)
 			r.reportEntryProgress(ProgressSynced, s, entry.Epoch, entry.Version, change)
@@ -81,6 +92,7 @@
 	for _, p := range r.preferredPeers {
 		r.replicateTo(p)
 	}
+	return nil
 }
 
 // resolvePending completes, in order, the pending calls whose outcome is known or whose
--- a/internal/replication/errors.go
+++ b/internal/replication/errors.go
@@ -14,6 +14,9 @@
 	// confirmed within RequestTimeout or before the ownership was lost. No change was
 	// made.
 	ErrUnavailable = Error.New("the shard has no owner that can serve now, no change was made")
+	// ErrInvalidChange reports that the change cannot be encoded, such as one with a
+	// string that is not valid UTF-8. No change was made.
+	ErrInvalidChange = Error.New("the change cannot be encoded, no change was made")
 	// ErrOutcomeUnknown reports that a change was made but is not known to be
 	// committed: it may still take effect, or be lost.
 	ErrOutcomeUnknown = Error.New("outcome unknown, the change may or may not take effect")
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -402,12 +402,15 @@
 	}
 }
 
-// proposeMembership writes the membership to the master shard.
+// proposeMembership writes the membership to the master shard. If the membership cannot
+// be encoded, it is not proposed.
 func (r *Replica) proposeMembership(membership *meshpb.Membership) {
 	data, err := proto.Marshal(membership)
+	if err == nil {
+		blob := &meshpb.Blob{Name: membershipBlob, Data: data, Version: membership.Version}
+		err = r.propose(r.shards[masterShard], &meshpb.Change{Blob: blob})
+	}
 	if err != nil {
-		panic(err)
+		r.options.Log.Warn("failed to propose a membership", "version", membership.Version, "error", err)
 	}
-	blob := &meshpb.Blob{Name: membershipBlob, Data: data, Version: membership.Version}
-	r.propose(r.shards[masterShard], &meshpb.Change{Blob: blob})
 }
--- a/internal/replication/persistence.go
+++ b/internal/replication/persistence.go
@@ -87,19 +87,30 @@
 	}
 }
 
-// encodeRecord panics if record can't be marshaled, which no valid record causes.
-func encodeRecord(record *meshpb.Record) []byte {
+// encodeRecord returns the record as it is written to the log. It fails if a string of
+// the record is not valid UTF-8.
+func encodeRecord(record *meshpb.Record) ([]byte, error) {
 	data, err := proto.Marshal(record)
-	if err != nil {
-		panic(err)
-	}
-	return data
+	return data, Error.Wrap(err)
 }
 
 // persist writes a record. done is called once the record is synced or has failed. A
-// checkpoint follows when the log has grown beyond CheckpointBytes.
+// record that cannot be encoded counts as a failure of the disk.
 func (r *Replica) persist(record *meshpb.Record, done func(error)) {
-	data := encodeRecord(record)
+	data, err := encodeRecord(record)
+	if err != nil {
+		r.awaitPersisted(func(error) {
+			r.recordDiskFailure(err)
+			done(err)
+		})
+		return
+	}
+	r.persistEncoded(data, done)
+}
+
+// persistEncoded writes an encoded record. done is called once the record is synced or
+// has failed. A checkpoint follows when the log has grown beyond CheckpointBytes.
+func (r *Replica) persistEncoded(data []byte, done func(error)) {
 	r.disk.bytesSinceCheckpoint += len(data)
 	r.disk.unsyncedSince = append(r.disk.unsyncedSince, r.now())
 	r.storage.Append(data, func(err error) {
@@ -158,7 +169,12 @@
 	for _, s := range r.shards {
 		positions = append(positions, s.position())
 	}
-	r.storage.Checkpoint(r.snapshotRecords(), func(err error) { r.handleCheckpointResult(positions, err) })
+	records, err := r.snapshotRecords()
+	if err != nil {
+		r.handleCheckpointResult(positions, err)
+		return
+	}
+	r.storage.Checkpoint(records, func(err error) { r.handleCheckpointResult(positions, err) })
 }
 
 // handleCheckpointResult marks the disk as healthy and the positions that the snapshot
@@ -182,20 +198,31 @@
 	}
 }
 
-// snapshotRecords returns records of everything that this member holds.
-func (r *Replica) snapshotRecords() [][]byte {
-	records := [][]byte{encodeRecord(&meshpb.Record{Identity: &meshpb.Identity{Id: r.self.Id, Bootstrap: r.bootstrap}})}
+// snapshotRecords returns encoded records of everything that this member holds.
+func (r *Replica) snapshotRecords() ([][]byte, error) {
+	records := []*meshpb.Record{{Identity: &meshpb.Identity{Id: r.self.Id, Bootstrap: r.bootstrap}}}
 	if r.membership.Version > 0 {
-		records = append(records, encodeRecord(&meshpb.Record{Membership: r.membership}))
+		records = append(records, &meshpb.Record{Membership: r.membership})
 	}
 	for _, s := range r.shards {
-		records = append(records, encodeRecord(&meshpb.Record{State: r.snapshot(s)}))
+		records = append(records, &meshpb.Record{State: r.snapshot(s)})
 		if s.vote.epoch > 0 {
 			v := &meshpb.Vote{Shard: uint32(s.id), Epoch: s.vote.epoch, Candidate: s.vote.candidate}
-			records = append(records, encodeRecord(&meshpb.Record{Vote: v}))
+			records = append(records, &meshpb.Record{Vote: v})
+		}
+	}
+	return encodeRecords(records)
+}
+
+func encodeRecords(records []*meshpb.Record) ([][]byte, error) {
+	encoded := make([][]byte, len(records))
+	for i, record := range records {
+		var err error
+		if encoded[i], err = encodeRecord(record); err != nil {
+			return nil, err
 		}
 	}
-	return records
+	return encoded, nil
 }
 
 // snapshot returns the full state of the shard's replica.
--- a/internal/replication/recovery_test.go
+++ b/internal/replication/recovery_test.go
@@ -1,13 +1,16 @@
 package replication_test
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
+	"corkcove/internal/coordination"
 	"corkcove/internal/replication"
 	"corkcove/internal/rpc/meshpb"
 )
@@ -164,3 +167,65 @@
 		}
 	}
 }
+
+// executeNow executes a change of the shard's table at the shard's owner, and returns the
+// error once the outcome is known.
+func executeNow(t *testing.T, cluster *simCluster, shard int, decide func(*coordination.Table) *meshpb.Change) error {
+	t.Helper()
+	for _, node := range cluster.allNodes() {
+		if _, owned := node.replica.OwnedEpoch(shard); !owned {
+			continue
+		}
+		outcome := errors.New("no outcome")
+		node.replica.Execute(shard, func(content replication.StateMachine, _ time.Duration) *meshpb.Change {
+			return decide(content.(*coordination.Table))
+		}, func(err error) { outcome = err })
+		cluster.runUntil(cluster.now + time.Second)
+		return outcome
+	}
+	t.Fatal("the shard has no owner")
+	return nil
+}
+
+// TestChangeThatCannotBeEncodedChangesNothing guards against a change that is applied in
+// memory before it is found that it cannot be stored, which ended the owner's process
+// and, as callers repeat their requests, all members' (review/1).
+func TestChangeThatCannotBeEncodedChangesNothing(t *testing.T) {
+	const shard, invalid = 1, "g.caf\xe9"
+	cluster := newSimCluster(t, 5, 3)
+	cluster.runUntil(2 * time.Second)
+	for name, decide := range map[string]func(*coordination.Table) *meshpb.Change{
+		"key":   func(table *coordination.Table) *meshpb.Change { return table.Put(invalid, "v", nil, 0).Change },
+		"group": func(table *coordination.Table) *meshpb.Change { return table.Put("\xe9.a", "v", nil, 0).Change },
+		"value": func(table *coordination.Table) *meshpb.Change { return table.Put("g.a", invalid, nil, 0).Change },
+		"lock": func(table *coordination.Table) *meshpb.Change {
+			return table.AcquireLock(invalid, "o", time.Second, 0).Change
+		},
+		"owner": func(table *coordination.Table) *meshpb.Change {
+			return table.AcquireLock("l", invalid, time.Second, 0).Change
+		},
+		"counter": func(table *coordination.Table) *meshpb.Change { return table.NextNumber(invalid).Change },
+		"session": func(table *coordination.Table) *meshpb.Change {
+			return table.PinSession(&meshpb.PinRequest{Key: invalid, Service: "s", Want: "e", Allowed: []string{"s"}}, 0).Change
+		},
+		"blob": func(*coordination.Table) *meshpb.Change { return &meshpb.Change{Blob: &meshpb.Blob{Name: invalid}} },
+	} {
+		qt.Check(t, executeNow(t, cluster, shard, decide), qt.ErrorIs, replication.ErrInvalidChange, qt.Commentf("%s", name))
+	}
+	qt.Assert(t, executeNow(t, cluster, shard, func(table *coordination.Table) *meshpb.Change {
+		_, err := proto.Marshal(table.Snapshot(0))
+		qt.Check(t, err, qt.IsNil)
+		return table.Put("g.a", "valid", nil, 0).Change
+	}), qt.IsNil)
+	for _, node := range cluster.allNodes() {
+		node.kill()
+		node.start()
+	}
+	cluster.runUntil(cluster.now + 5*time.Second)
+	var value coordination.Cell
+	qt.Assert(t, executeNow(t, cluster, shard, func(table *coordination.Table) *meshpb.Change {
+		value = table.Get("g.a").Result
+		return nil
+	}), qt.IsNil)
+	qt.Assert(t, value, qt.Equals, coordination.Cell{Payload: "valid", Revision: 1})
+}
