controlapi: names of any bytes, escaped where the path is matched

Cause: the name was taken from the decoded path into strings of messages, which must be UTF-8. The JSON decoder replaced such bytes in bodies, so that two holders of a lock could have become one, and a configuration could have held names that no node can report. Change: package names escapes bytes that are not UTF-8 reversibly; all other names stay as they are. A watch shows such a key percent-encoded. Bodies that are not UTF-8 get 400.

--- a/internal/controlapi/config_change.go
+++ b/internal/controlapi/config_change.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"corkcove/internal/coordination"
 	"corkcove/internal/routeconfig"
@@ -127,7 +128,13 @@
 // putConfig handles a PUT of the configuration, which replaces all of it.
 func (s *CoreServer) putConfig(w http.ResponseWriter, r request) { s.changeConfig(w, r, parsePut) }
 
+// errConfigNotUTF8 reports a change whose body is not UTF-8 and so no JSON.
+var errConfigNotUTF8 = Error.New("the configuration is not UTF-8")
+
 func parsePut(body []byte) (parsedChange, error) {
+	if !utf8.Valid(body) {
+		return parsedChange{}, errConfigNotUTF8
+	}
 	config, err := routeconfig.Parse(body)
 	apply := func(*meshpb.Config) (routeconfig.Config, error) { return config, nil }
 	return parsedChange{config.Version, apply}, err
@@ -140,6 +147,9 @@
 }
 
 func (s *CoreServer) parsePatch(body []byte) (parsedChange, error) {
+	if !utf8.Valid(body) {
+		return parsedChange{}, errConfigNotUTF8
+	}
 	patch, err := routeconfig.ParsePatch(body)
 	apply := func(current *meshpb.Config) (routeconfig.Config, error) {
 		if current.Version == 0 {
--- a/internal/controlapi/handler.go
+++ b/internal/controlapi/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"unicode/utf8"
 )
 
 const (
@@ -32,6 +33,12 @@
 			errorResponse(err).write(w)
 			return
 		}
+		// JSON is UTF-8. The decoder would replace other bytes, so that two owners of a lock
+		// could become one.
+		if !utf8.Valid(body) {
+			errorResponse(errMalformed("the body is not UTF-8")).write(w)
+			return
+		}
 		var input Req
 		if len(body) > 0 || r.Method == http.MethodPut {
 			if err := json.Unmarshal(body, &input); err != nil {
--- a/internal/controlapi/mux.go
+++ b/internal/controlapi/mux.go
@@ -4,12 +4,14 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+
+	"corkcove/internal/names"
 )
 
 // request is an HTTP request that was matched to a route.
 type request struct {
-	// name is the rest of the path after the route's prefix. It is empty if the route
-	// does not end with a name.
+	// name is the rest of the path after the route's prefix, escaped by names.Escape. It
+	// is empty if the route does not end with a name.
 	name string
 	*http.Request
 }
@@ -60,7 +62,7 @@
 			continue
 		}
 		if route.method == r.Method {
-			route.handler(w, request{name, r})
+			route.handler(w, request{names.Escape(name), r})
 			return
 		}
 		unmatched = statusMethodNotAllowed
--- a/internal/controlapi/server_test.go
+++ b/internal/controlapi/server_test.go
@@ -163,3 +163,37 @@
 		qt.Assert(t, body, qt.Equals, `{"eventList":[],"revision":2}`)
 	})
 }
+
+// Guards against names whose bytes are not UTF-8, which a path may contain as %XX: they
+// ended the core (review/1). They must be told apart, and a watch must show them.
+func TestNamesMayContainAnyBytes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := newSingleServer(t)
+		defer server.mailbox.Close()
+		for _, row := range []struct{ request, body, contains string }{
+			{"PUT /-/cells/g.caf%E9", `{"payload":"v"}`, `200 {"revision":1}`},
+			{"PUT /-/cells/g.caf%E8", `{"payload":"w"}`, `200 {"revision":2}`},
+			{"PUT /-/cells/g.caf%C3%A9", `{"payload":"x"}`, `200 {"revision":3}`},
+			{"PUT /-/cells/g.caf%E9", `{"payload":"y","topic":2}`, `412 {"revision":1}`},
+			{"GET /-/cells/g.caf%E9", ``, `200 {"payload":"v","revision":1}`},
+			{"GET /-/cells/g.caf%E7", ``, `404 `},
+			{"GET /-/watch/g.?after=1", ``, `"name":"g.caf%E8","payload":"w"`},
+			{"GET /-/watch/g.?after=2", ``, `"name":"g.café","payload":"x"`},
+			{"PUT /-/cells/%E9.a", `{"payload":"v"}`, `200 {"revision":1}`},
+			{"GET /-/watch/%E9.?after=0", ``, `200 {"eventList":[],"revision":1}`},
+			{"POST /-/numbers/%FF", ``, `200 {"payload":1}`},
+			{"POST /-/numbers/%FE", ``, `200 {"payload":1}`},
+			{"POST /-/locks/%FF", `{"holderId":"a","holdS":3}`, `200 `},
+			{"POST /-/locks/%FE", `{"holderId":"b","holdS":3}`, `200 `},
+			{"POST /-/locks/%FF", `{"holderId":"b","holdS":3}`, `409 `},
+			{"POST /-/locks/l", "{\"holderId\":\"\xe9\",\"holdS\":3}", `400 `},
+			{"PUT /-/cells/g.a", "{\"payload\":\"\xe9\"}", `400 `},
+			{"PUT /-/configuration", configJSON("r5", "\xe9"), `400 `},
+		} {
+			method, path, _ := strings.Cut(row.request, " ")
+			code, body := server.do(method, path, row.body, "0")
+			qt.Check(t, fmt.Sprint(code, " ", body), qt.Contains, row.contains, qt.Commentf("%s", row.request))
+		}
+		server.checkHealthy(t)
+	})
+}
--- a/internal/controlapi/watch.go
+++ b/internal/controlapi/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corkcove/internal/coordination"
+	"corkcove/internal/names"
 )
 
 // Query parameters of a watch.
@@ -22,7 +23,7 @@
 
 // watchEvent is the put of a value.
 type watchEvent struct {
-	// Name is the key.
+	// Name is the key; see names.ForJSON.
 	Name     string `json:"name"`
 	Payload  string `json:"payload"`
 	Revision uint64 `json:"revision"`
@@ -56,7 +57,7 @@
 	}
 	resp := watchResponse{Events: []watchEvent{}, Revision: max(list.Revision, after)}
 	for _, event := range list.Events {
-		resp.Events = append(resp.Events, watchEvent{event.Name, event.Payload, event.Revision})
+		resp.Events = append(resp.Events, watchEvent{names.ForJSON(event.Name), event.Payload, event.Revision})
 	}
 	return resp, nil
 }
