Endpoint ids and rows that no message or header can carry are refused

Operators would see: a node "unreachable" because of its own endpoint's id, or views that reach nobody because of one row of the platform's list. Cause: texts that are not UTF-8 went into the node's state and into the view, whose encoding then fails each time; slot counts were cut to 32 bits. Change: a heartbeat whose id a header can't carry gets 400; such a row, or one that is not UTF-8, is skipped with the known warning. Slots and warm-up are limited as in the list. Tests, on the code before: FuzzEndpointServer fails in its seeds ("string field contains invalid UTF-8"), TestRowsThatNoMessageCanCarryAreSkipped gets other rows than the one. FuzzEndpointServer by hand: 323,000 inputs in 20 s, nothing found.

--- a/internal/controlapi/endpoints.go
+++ b/internal/controlapi/endpoints.go
@@ -5,6 +5,15 @@
 
 	"corkcove/internal/endpointagent"
 	"corkcove/internal/lifecycle"
+	"corkcove/internal/names"
+)
+
+const (
+	// maxSlots is the maximum number of slots of an endpoint; it counts as having no
+	// more, whatever it reports.
+	maxSlots = 1 << 20
+	// maxWarmupSeconds is the longest warm-up time of an endpoint, likewise.
+	maxWarmupSeconds = 1e6
 )
 
 // EndpointServer serves the endpoint next to a sidecar. It passes heartbeats and
@@ -47,9 +56,12 @@
 	if body.SlotCount < 1 {
 		return empty{}, errMalformed("slotCount must be 1 at least")
 	}
+	if !names.ValidHeaderValue(r.name) {
+		return empty{}, errMalformed("the id must be text that a header can carry")
+	}
 	s.agent.RecordHeartbeat(endpointagent.Heartbeat{
 		ID: r.name, Service: body.ServiceName, Addr: body.Address, Zone: body.ZoneName, SoftwareVersion: body.SoftwareVersion,
-		Slots: body.SlotCount, State: body.State, Warmup: durationFromSeconds(body.WarmupSeconds), Seq: body.Sequence,
+		Slots: min(body.SlotCount, maxSlots), State: body.State, Warmup: warmupFromSeconds(body.WarmupSeconds), Seq: body.Sequence,
 	})
 	return empty{}, nil
 }
@@ -59,4 +71,7 @@
 	return empty{}, nil
 }
 
-func durationFromSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// warmupFromSeconds returns a duration between 0 and maxWarmupSeconds.
+func warmupFromSeconds(s float64) time.Duration {
+	return time.Duration(min(max(s, 0), maxWarmupSeconds) * float64(time.Second))
+}
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -70,6 +70,19 @@
 	qt.Assert(t, *slept >= 5*40*time.Millisecond, qt.IsTrue, qt.Commentf("6 requests at half of 50/s in %v", *slept))
 }
 
+// Guards against a view that cannot be sent, and requests that cannot be addressed, because
+// of one row.
+func TestRowsThatNoMessageCanCarryAreSkipped(t *testing.T) {
+	p := &fakePlatform{pages: map[string]string{"": pageJSON(`null`,
+		"[\"s\",\"10.0.0.2:80\",\"z\xe9\",\"v1\",6,\"ready\",0,\"i-1\"],[\"s\",\"10.0.0.3:80\",\"z\",\"v1\",6,\"ready\",0,\"i-\xe9\"],"+
+			`["s","10.0.0.4:80","z","v1",6,"ready",0,"i\r\nX-Not-Run: 1"],["s","10.0.0.5:80","z","v1",6,"ready",0," i"],["s","10.0.0.6:80","z","v1",6,"ready",0,"é"]`)}}
+	client, _ := newTestClient(p)
+	endpoints, err := client.List(context.Background(), isMaster)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, endpoints, qt.HasLen, 1)
+	qt.Assert(t, endpoints[0].Id, qt.Equals, "é")
+}
+
 func TestMalformedRowsAreSkippedAndMalformedPagesFail(t *testing.T) {
 	p := &fakePlatform{pages: map[string]string{"": pageJSON(`null`,
 		`["s","10.0.0.2:80","z","v1",6,"ready",0,"i-1"],["s","10.0.0.2:80","z","v1",6,"ready",0,"i-1"],["s","10.0.0.3:80","z","v1",0,"ready",0,"i-2"],`+
--- a/internal/discovery/row.go
+++ b/internal/discovery/row.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"unicode/utf8"
 
 	"github.com/go-faster/jx"
 
 	"corkcove/internal/lifecycle"
+	"corkcove/internal/names"
 	"corkcove/internal/rpc/meshpb"
 )
 
@@ -69,6 +71,10 @@
 // parseRow parses one row. The error says why the row does not describe a usable
 // endpoint.
 func parseRow(columns []string, row jx.Raw) (*meshpb.Endpoint, error) {
+	// The decoder does not check this, and a view with other text cannot be sent.
+	if !utf8.Valid(row) {
+		return nil, fmt.Errorf("row %q is not UTF-8", row)
+	}
 	listed := listedEndpoint{endpoint: &meshpb.Endpoint{Healthy: true}}
 	index := 0
 	err := jx.DecodeBytes(row).Arr(func(d *jx.Decoder) error {
@@ -92,6 +98,9 @@
 	if e.Id == "" || e.Service == "" || e.Addr == "" {
 		return nil, fmt.Errorf("endpoint %q: %s, %s or %s is missing", e.Id, columnID, columnService, columnAddress)
 	}
+	if !names.ValidHeaderValue(names.Escape(e.Id)) {
+		return nil, fmt.Errorf("endpoint %q: the %s cannot be sent in a header", e.Id, columnID)
+	}
 	if e.Slots < 1 {
 		return nil, fmt.Errorf("endpoint %q: %s is missing", e.Id, columnSlots)
 	}
