requestlog: reports can be sent whatever clients sent

Operators would see: `corkcove replay` gets no records of a node once a client has sent a header, target or id that is not UTF-8. Cause: the record kept the texts as they came, and the report could not be encoded. Change: such texts are escaped when a report is made; requests cost nothing more.

--- a/internal/requestlog/recorder_test.go
+++ b/internal/requestlog/recorder_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
+	"corkcove/internal/names"
 	"corkcove/internal/rpc/meshpb"
 )
 
@@ -50,6 +52,19 @@
 	qt.Assert(t, second.BudgetSamples, qt.HasLen, 0)
 }
 
+// Guards against one request with a header in Latin-1 that hides all records of a node.
+func TestReportCanBeSentWhateverClientsSent(t *testing.T) {
+	r, clock := newTestRecorder(8, time.Minute)
+	r.Begin()
+	r.End(&meshpb.RequestRecord{Id: "r\xe9", Method: "GET", Host: "h\xe9", Target: "/caf\xe9", AtUs: clock.now.UnixMicro(),
+		Headers: map[string]string{"Cookie": "caf\xe9"}}, constantBalance)
+	report := r.Report(time.Minute, 0, 5)
+	_, err := proto.Marshal(report)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, names.Unescape(report.Records[0].Target), qt.Equals, "/caf\xe9")
+	qt.Assert(t, names.Unescape(report.Records[0].Headers["Cookie"]), qt.Equals, "caf\xe9")
+}
+
 func TestReportOmitsRecordsOlderThanSpan(t *testing.T) {
 	r, clock := newTestRecorder(100, time.Minute)
 	addRecords(r, clock, 20)
--- a/internal/requestlog/report.go
+++ b/internal/requestlog/report.go
@@ -2,7 +2,11 @@
 
 import (
 	"time"
+	"unicode/utf8"
 
+	"google.golang.org/protobuf/proto"
+
+	"corkcove/internal/names"
 	"corkcove/internal/rpc"
 	"corkcove/internal/rpc/meshpb"
 )
@@ -57,8 +61,33 @@
 			report.Next = found - 1
 			return
 		}
-		report.Records = append(report.Records, record)
+		report.Records = append(report.Records, sendable(record))
+	}
+}
+
+// sendable returns the record with the texts that come from the client escaped, because a
+// message can carry valid UTF-8 only. A record that needs no escape is returned itself.
+func sendable(record *meshpb.RequestRecord) *meshpb.RequestRecord {
+	if hasValidTexts(record) {
+		return record
+	}
+	escaped := proto.CloneOf(record)
+	escaped.Id, escaped.Method = names.Escape(record.Id), names.Escape(record.Method)
+	escaped.Host, escaped.Target = names.Escape(record.Host), names.Escape(record.Target)
+	escaped.Headers = map[string]string{}
+	for name, value := range record.Headers {
+		escaped.Headers[names.Escape(name)] = names.Escape(value)
+	}
+	return escaped
+}
+
+func hasValidTexts(record *meshpb.RequestRecord) bool {
+	for name, value := range record.Headers {
+		if !utf8.ValidString(name) || !utf8.ValidString(value) {
+			return false
+		}
 	}
+	return utf8.ValidString(record.Id) && utf8.ValidString(record.Method) && utf8.ValidString(record.Host) && utf8.ValidString(record.Target)
 }
 
 // addVersions adds the versions of the view and the configuration that were in force
