listeners: accept again after any error, and be unready while that fails

Cause: the accept loop of the clients' listener, of sidecar and edge, ended at the first error of Accept. The other listeners are served by net/http, which ends at errors other than a lack of descriptors. Change: package listen; every listener of every role retries with a backoff of 5 ms to 1 s until it is closed, and logs when errors begin and end. A node whose clients' listener has failed for 1 s is unready, until 2 s after the last error. The servers of earlier limits end with the listener.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -192,7 +192,7 @@
 	rpc.Handle(mux, meshpb.NewReplicationServer(replication.Handler{Mailbox: c.mailbox, Replica: c.replica}))
 	rpc.Handle(mux, meshpb.NewControlServer(c))
 	rpc.Handle(mux, meshpb.NewDiagnosticsServer(processDiagnostics{c.process}))
-	serve(&http.Server{Handler: mux, IdleTimeout: internalIdleTimeout}, listener)
+	c.serve(&http.Server{Handler: mux, IdleTimeout: internalIdleTimeout}, listener)
 }
 
 // serveControlAPI serves the HTTP API for operators and applications.
@@ -202,7 +202,7 @@
 	api.OnConfigAccepted = func(version uint64) {
 		c.trace(changetrace.KindConfig, "acknowledged", c.replica.MasterEpoch(), version)
 	}
-	serve(&http.Server{Handler: api, IdleTimeout: externalIdleTimeout, ReadHeaderTimeout: apiHeaderTimeout}, listener)
+	c.serve(&http.Server{Handler: api, IdleTimeout: externalIdleTimeout, ReadHeaderTimeout: apiHeaderTimeout}, listener)
 	return api
 }
 
--- a/cmd/corkcove/listeners.go
+++ b/cmd/corkcove/listeners.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"sync"
 
+	"corkcove/internal/listen"
+	"corkcove/internal/logring"
 	"corkcove/internal/routeconfig"
 )
 
@@ -26,9 +28,10 @@
 }
 
 // serve starts serving the listener in the background. Serving ends only with the
-// process, because no listener is ever closed.
-func serve(server *http.Server, listener net.Listener) {
-	go func() { _ = server.Serve(listener) }()
+// process, because no listener is ever closed and errors of Accept are retried.
+func (p *process) serve(server *http.Server, listener net.Listener) {
+	retrying := listen.Retry(listener, p.log("listen"))
+	go func() { _ = server.Serve(retrying) }()
 }
 
 // limitedListener serves a listener with the limits of the configuration. The
@@ -36,8 +39,10 @@
 // server for new connections. Open connections keep the limits that they were
 // accepted with.
 type limitedListener struct {
-	listener net.Listener
+	listener *listen.Retrying
 	handler  http.Handler
+	// closed is closed once the listener is.
+	closed chan struct{}
 
 	mu      sync.Mutex
 	limits  routeconfig.Limits
@@ -45,8 +50,8 @@
 }
 
 // newLimitedListener starts accepting connections, with the default limits.
-func newLimitedListener(listener net.Listener, handler http.Handler) *limitedListener {
-	l := &limitedListener{listener: listener, handler: handler}
+func newLimitedListener(listener net.Listener, handler http.Handler, log logring.Logger) *limitedListener {
+	l := &limitedListener{listener: listen.Retry(listener, log), handler: handler, closed: make(chan struct{})}
 	l.setLimits(routeconfig.DefaultLimits())
 	go l.acceptLoop()
 	return l
@@ -55,6 +60,7 @@
 // acceptLoop passes each new connection to the current server until the listener
 // is closed.
 func (l *limitedListener) acceptLoop() {
+	defer close(l.closed)
 	for {
 		connection, err := l.listener.Accept()
 		if err != nil {
@@ -75,20 +81,31 @@
 		return
 	}
 	l.limits = limits
-	l.current = &channelListener{connections: make(chan net.Conn), address: l.listener.Addr()}
-	serve(&http.Server{Handler: l.handler, MaxHeaderBytes: limits.MaxHeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}, l.current)
+	l.current = &channelListener{connections: make(chan net.Conn), closed: l.closed, address: l.listener.Addr()}
+	server := &http.Server{Handler: l.handler, MaxHeaderBytes: limits.MaxHeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+	current := l.current
+	go func() { _ = server.Serve(current) }()
 }
 
 // channelListener is a net.Listener that receives already accepted connections from
-// another goroutine. It is never closed, so that its server continues to serve the
-// connections that are still open.
+// another goroutine. It ends with the listener that these come from, not when another
+// one takes its place: its server continues to serve the connections that are still open.
 type channelListener struct {
 	connections chan net.Conn
-	address     net.Addr
+	// closed is closed once no more connections will come.
+	closed  <-chan struct{}
+	address net.Addr
 }
 
-// Accept waits for the next connection. It never returns an error.
-func (l *channelListener) Accept() (net.Conn, error) { return <-l.connections, nil }
+// Accept waits for the next connection. The error is net.ErrClosed.
+func (l *channelListener) Accept() (net.Conn, error) {
+	select {
+	case connection := <-l.connections:
+		return connection, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
 
 // Close does nothing and returns nil.
 func (l *channelListener) Close() error { return nil }
--- a/cmd/corkcove/trafficnode.go
+++ b/cmd/corkcove/trafficnode.go
@@ -73,6 +73,8 @@
 	keyMeter    *hotkeys.Meter
 	// routes is the compiled configuration in force.
 	routes atomic.Pointer[routeconfig.Table]
+	// clients accepts the connections of clients. It is set by serveOutbound.
+	clients *limitedListener
 	// stopping is set when the process is told to stop.
 	stopping atomic.Bool
 }
@@ -118,8 +120,8 @@
 // serveOutbound serves the listener with the outbound chain. The limits follow the
 // configurations that the agent applies from now on.
 func (n *trafficNode) serveOutbound(listener net.Listener, outbound *proxy.Outbound) {
-	limited := newLimitedListener(listener, outbound)
-	n.applyConfigs(limited.setLimits)
+	n.clients = newLimitedListener(listener, outbound, n.log("listen"))
+	n.applyConfigs(n.clients.setLimits)
 }
 
 // serveInternal serves the RPCs of the master, its relays and the tools.
@@ -127,13 +129,14 @@
 	mux := http.NewServeMux()
 	rpc.Handle(mux, meshpb.NewNodeServer(n.agent))
 	rpc.Handle(mux, meshpb.NewDiagnosticsServer(newNodeDiagnostics(n, flows, preferredEndpoints)))
-	serve(&http.Server{Handler: mux, IdleTimeout: internalIdleTimeout}, listener)
+	n.serve(&http.Server{Handler: mux, IdleTimeout: internalIdleTimeout}, listener)
 }
 
-// serveReadiness serves the readiness probe of the platform.
+// serveReadiness serves the readiness probe of the platform. It must be called after
+// serveOutbound.
 func (n *trafficNode) serveReadiness(listener net.Listener) {
-	handler := readinessHandler(func() bool { return !n.stopping.Load() && n.agent.Ready() })
-	serve(&http.Server{Handler: handler, IdleTimeout: externalIdleTimeout}, listener)
+	handler := readinessHandler(func() bool { return !n.stopping.Load() && n.agent.Ready() && !n.clients.listener.Failing() })
+	n.serve(&http.Server{Handler: handler, IdleTimeout: externalIdleTimeout}, listener)
 }
 
 // readinessHandler responds to readiness probes with 200 if ready returns true, and
--- /dev/null
+++ b/internal/listen/retrying.go
@@ -0,0 +1,85 @@
+package listen
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"corkcove/internal/logring"
+)
+
+const (
+	// minBackoff and maxBackoff limit the pause after an error of Accept. It doubles with
+	// each error in a row.
+	minBackoff = 5 * time.Millisecond
+	maxBackoff = time.Second
+	// failingAfter is how long errors must have lasted for the listener to count as
+	// failing. Shorter ones delay connections no more than a full queue does.
+	failingAfter = time.Second
+	// failureExpiry is the age of the last error from which on the listener no longer
+	// counts as failing: an attempt to accept has been waiting since then.
+	failureExpiry = 2 * maxBackoff
+)
+
+// Retrying is a net.Listener whose Accept fails only once the listener is closed. After
+// other errors it tries again, because their causes pass: there are no free file
+// descriptors or buffers, or a client has given up.
+type Retrying struct {
+	net.Listener
+	log logring.Logger
+
+	mu sync.Mutex
+	// firstError and lastError are the times of the first and the last error since a
+	// connection was accepted. They are zero if there was none.
+	firstError, lastError time.Time
+}
+
+// Retry returns a listener that accepts the connections of l. It logs when errors begin
+// and when they have ended.
+func Retry(l net.Listener, log logring.Logger) *Retrying { return &Retrying{Listener: l, log: log} }
+
+// Accept waits for the next connection. The error is net.ErrClosed.
+func (l *Retrying) Accept() (net.Conn, error) {
+	for backoff := minBackoff; ; backoff = min(2*backoff, maxBackoff) {
+		connection, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			l.recordSuccess()
+			return connection, nil
+		case errors.Is(err, net.ErrClosed):
+			return nil, net.ErrClosed
+		}
+		l.recordError(err)
+		time.Sleep(backoff)
+	}
+}
+
+// Failing reports whether no connection can be accepted at present: errors have lasted for
+// failingAfter and have not ended.
+func (l *Retrying) Failing() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastError.Sub(l.firstError) >= failingAfter && time.Since(l.lastError) < failureExpiry
+}
+
+func (l *Retrying) recordError(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastError = time.Now()
+	if !l.firstError.IsZero() {
+		return
+	}
+	l.firstError = l.lastError
+	l.log.Warn("failed to accept connections", "address", l.Addr(), "error", err)
+}
+
+func (l *Retrying) recordSuccess() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.firstError.IsZero() {
+		return
+	}
+	l.log.Info("accepts connections again", "address", l.Addr(), "after", l.lastError.Sub(l.firstError))
+	l.firstError, l.lastError = time.Time{}, time.Time{}
+}
