listeners: a budget of descriptors for clients; the idlest is closed at its limit

Cause: nothing limited the connections of clients. Change: clients have three quarters of maxFds, or of the system's limit: a connection takes one, and another while a request is in progress, for the one upstream. At the limit the connection idle longest is closed if no byte has come on it; from a request's first byte to the end of its response none is. If all are busy, clients wait in the socket's queue, and after a second the node is unready. Idle upstream connections: an eighth at most. The core's control API has the same limit.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -202,7 +202,7 @@
 	api.OnConfigAccepted = func(version uint64) {
 		c.trace(changetrace.KindConfig, "acknowledged", c.replica.MasterEpoch(), version)
 	}
-	c.serve(&http.Server{Handler: api, IdleTimeout: externalIdleTimeout, ReadHeaderTimeout: apiHeaderTimeout}, listener)
+	c.serveClients(&http.Server{Handler: api, IdleTimeout: externalIdleTimeout, ReadHeaderTimeout: apiHeaderTimeout}, listener)
 	return api
 }
 
--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -55,7 +55,9 @@
 
 func newEdgeOutbound(node *trafficNode) *proxy.Outbound {
 	options := node.outboundOptions()
-	options.AppClient = proxy.NewAppClient(rpc.NewTransport(300*time.Millisecond, 800*time.Millisecond, 6*time.Second, 4),
+	pooled := rpc.NewTransport(300*time.Millisecond, 800*time.Millisecond, 6*time.Second, 4)
+	pooled.MaxIdleConns = node.maxIdleUpstream()
+	options.AppClient = proxy.NewAppClient(pooled,
 		rpc.NewTransport(300*time.Millisecond, 800*time.Millisecond, time.Second, 1))
 	return proxy.NewOutbound(options)
 }
--- a/cmd/corkcove/listeners.go
+++ b/cmd/corkcove/listeners.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"sync"
 
+	"golang.org/x/sys/unix"
+
 	"corkcove/internal/listen"
 	"corkcove/internal/logring"
 	"corkcove/internal/routeconfig"
@@ -27,6 +30,41 @@
 	return listeners, nil
 }
 
+// serveClients is like serve, for a listener that any number of clients may connect to.
+func (p *process) serveClients(server *http.Server, listener net.Listener) {
+	limiter := p.clientLimiter()
+	server.Handler = limiter.Handler(server.Handler)
+	limited := limiter.Listen(listen.Retry(listener, p.log("listen")))
+	go func() { _ = limitConnections(server, limiter).Serve(limited) }()
+}
+
+// clientLimiter returns a limiter for the connections of clients. It leaves a quarter of
+// the process's descriptors to the disk, the calls between processes, health probes and
+// idle upstream connections.
+func (p *process) clientLimiter() *listen.Limiter {
+	return listen.NewLimiter(p.maxDescriptors() / 4 * 3)
+}
+
+// maxIdleUpstream returns how many idle upstream connections the process may keep.
+func (p *process) maxIdleUpstream() int { return p.maxDescriptors() / 8 }
+
+// maxDescriptors returns how many file descriptors the process may have open, according to
+// the settings and the limit of the operating system.
+func (p *process) maxDescriptors() int {
+	count := int64(fallbackMaxDescriptors)
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
+		count = int64(min(limit.Cur, math.MaxInt32))
+	}
+	if configured := p.options.Self.Limits.MaxFileDescriptors; configured > 0 {
+		count = min(count, configured)
+	}
+	return int(count)
+}
+
+// fallbackMaxDescriptors is assumed if neither the settings nor the system tell a limit.
+const fallbackMaxDescriptors = 1024
+
 // serve starts serving the listener in the background. Serving ends only with the
 // process, because no listener is ever closed and errors of Accept are retried.
 func (p *process) serve(server *http.Server, listener net.Listener) {
@@ -34,12 +72,15 @@
 	go func() { _ = server.Serve(retrying) }()
 }
 
-// limitedListener serves a listener with the limits of the configuration. The
-// limits of an http.Server are fixed, so each change of the limits creates a new
+// clientListener serves the connections of clients with the limits of the configuration.
+// The limits of an http.Server are fixed, so each change of the limits creates a new
 // server for new connections. Open connections keep the limits that they were
 // accepted with.
-type limitedListener struct {
-	listener *listen.Retrying
+type clientListener struct {
+	// retrying is the listener, and listener the same with the limiter applied.
+	retrying *listen.Retrying
+	listener net.Listener
+	limiter  *listen.Limiter
 	handler  http.Handler
 	// closed is closed once the listener is.
 	closed chan struct{}
@@ -49,17 +90,23 @@
 	current *channelListener
 }
 
-// newLimitedListener starts accepting connections, with the default limits.
-func newLimitedListener(listener net.Listener, handler http.Handler, log logring.Logger) *limitedListener {
-	l := &limitedListener{listener: listen.Retry(listener, log), handler: handler, closed: make(chan struct{})}
+// newClientListener starts accepting connections, with the default limits.
+func newClientListener(listener net.Listener, handler http.Handler, limiter *listen.Limiter, log logring.Logger) *clientListener {
+	retrying := listen.Retry(listener, log)
+	l := &clientListener{retrying: retrying, listener: limiter.Listen(retrying), limiter: limiter, handler: limiter.Handler(handler), closed: make(chan struct{})}
 	l.setLimits(routeconfig.DefaultLimits())
 	go l.acceptLoop()
 	return l
 }
 
+// acceptsClients reports whether clients can connect at present.
+func (l *clientListener) acceptsClients() bool {
+	return !l.retrying.Failing() && !l.limiter.Saturated()
+}
+
 // acceptLoop passes each new connection to the current server until the listener
 // is closed.
-func (l *limitedListener) acceptLoop() {
+func (l *clientListener) acceptLoop() {
 	defer close(l.closed)
 	for {
 		connection, err := l.listener.Accept()
@@ -74,19 +121,26 @@
 }
 
 // setLimits applies the limits to connections that are accepted from now on.
-func (l *limitedListener) setLimits(limits routeconfig.Limits) {
+func (l *clientListener) setLimits(limits routeconfig.Limits) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.current != nil && limits == l.limits {
 		return
 	}
 	l.limits = limits
-	l.current = &channelListener{connections: make(chan net.Conn), closed: l.closed, address: l.listener.Addr()}
-	server := &http.Server{Handler: l.handler, MaxHeaderBytes: limits.MaxHeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
-	current := l.current
+	current := &channelListener{connections: make(chan net.Conn), closed: l.closed, address: l.listener.Addr()}
+	l.current = current
+	server := limitConnections(&http.Server{Handler: l.handler, MaxHeaderBytes: limits.MaxHeaderBytes, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}, l.limiter)
 	go func() { _ = server.Serve(current) }()
 }
 
+// limitConnections makes the server apply the limiter to its connections, which must come
+// from a listener of the limiter. The server's handler must be one of the limiter.
+func limitConnections(server *http.Server, limiter *listen.Limiter) *http.Server {
+	server.ConnState, server.ConnContext = limiter.ConnState, limiter.ConnContext
+	return server
+}
+
 // channelListener is a net.Listener that receives already accepted connections from
 // another goroutine. It ends with the listener that these come from, not when another
 // one takes its place: its server continues to serve the connections that are still open.
--- a/cmd/corkcove/listeners_test.go
+++ b/cmd/corkcove/listeners_test.go
@@ -35,7 +35,7 @@
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 	p := &process{logRing: logring.New(logCapacity, logFlushInterval, nil)}
 	for name, start := range map[string]func(net.Listener){
-		"clients": func(l net.Listener) { newLimitedListener(l, handler, p.log("listen")) },
+		"clients": func(l net.Listener) { newClientListener(l, handler, p.clientLimiter(), p.log("listen")) },
 		"other":   func(l net.Listener) { p.serve(&http.Server{Handler: handler}, l) },
 	} {
 		for _, err := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENOMEM, syscall.EPERM} {
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -122,6 +122,7 @@
 func (s *sidecar) newOutbound() *proxy.Outbound {
 	transport := rpc.NewTransport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
 	transport.ExpectContinueTimeout = time.Second
+	transport.MaxIdleConns = s.maxIdleUpstream()
 	options := s.outboundOptions()
 	options.Service, options.Transport, options.Pacer = s.options.Self.ServiceName, transport, s.pacer
 	return proxy.NewOutbound(options)
--- a/cmd/corkcove/trafficnode.go
+++ b/cmd/corkcove/trafficnode.go
@@ -74,7 +74,7 @@
 	// routes is the compiled configuration in force.
 	routes atomic.Pointer[routeconfig.Table]
 	// clients accepts the connections of clients. It is set by serveOutbound.
-	clients *limitedListener
+	clients *clientListener
 	// stopping is set when the process is told to stop.
 	stopping atomic.Bool
 }
@@ -120,7 +120,7 @@
 // serveOutbound serves the listener with the outbound chain. The limits follow the
 // configurations that the agent applies from now on.
 func (n *trafficNode) serveOutbound(listener net.Listener, outbound *proxy.Outbound) {
-	n.clients = newLimitedListener(listener, outbound, n.log("listen"))
+	n.clients = newClientListener(listener, outbound, n.clientLimiter(), n.log("listen"))
 	n.applyConfigs(n.clients.setLimits)
 }
 
@@ -135,7 +135,7 @@
 // serveReadiness serves the readiness probe of the platform. It must be called after
 // serveOutbound.
 func (n *trafficNode) serveReadiness(listener net.Listener) {
-	handler := readinessHandler(func() bool { return !n.stopping.Load() && n.agent.Ready() && !n.clients.listener.Failing() })
+	handler := readinessHandler(func() bool { return !n.stopping.Load() && n.agent.Ready() && n.clients.acceptsClients() })
 	n.serve(&http.Server{Handler: handler, IdleTimeout: externalIdleTimeout}, listener)
 }
 
--- a/internal/listen/retrying.go
+++ b/internal/listen/retrying.go
@@ -28,6 +28,8 @@
 type Retrying struct {
 	net.Listener
 	log logring.Logger
+	// onError, if set, is called after each error.
+	onError func()
 
 	mu sync.Mutex
 	// firstError and lastError are the times of the first and the last error since a
@@ -51,6 +53,9 @@
 			return nil, net.ErrClosed
 		}
 		l.recordError(err)
+		if l.onError != nil {
+			l.onError()
+		}
 		time.Sleep(backoff)
 	}
 }
