clustercontroller: keep an acknowledgement that came before the first report

The report was made before the patch and handled after its acknowledgement, and discarded that, as one that may come from an earlier incarnation. Test: TestAcknowledgementBeforeTheFirstReportCountsForItsIncarnation; without the change version 8, acknowledged, is taken for 7.

--- a/internal/clustercontroller/configs.go
+++ b/internal/clustercontroller/configs.go
@@ -150,7 +150,7 @@
 func (p *nodeProgress) recordConfigAck(request *meshpb.DeliverConfigRequest, response *meshpb.DeliverConfigResponse, latest bool, now time.Duration) {
 	if response != nil {
 		p.configVersion = max(p.configVersion, response.Version)
-		p.configAckedAt = now
+		p.configAckedAt, p.ackedIncarnation = now, response.Incarnation
 	}
 	if !latest {
 		return
--- a/internal/clustercontroller/progress.go
+++ b/internal/clustercontroller/progress.go
@@ -31,6 +31,8 @@
 	configSentAt  time.Duration
 	// configAckedAt is when the node last acknowledged any configuration.
 	configAckedAt time.Duration
+	// ackedIncarnation is the incarnation that did so, "" if it is unknown.
+	ackedIncarnation string
 	// configAttempt numbers all attempts to send a configuration; unansweredAttempts
 	// counts those since the last acknowledgement.
 	configAttempt      uint64
@@ -51,8 +53,7 @@
 func (m *Master) updateProgress(name string, state *meshpb.NodeState) {
 	progress := m.progress[name]
 	if progress != nil && progress.incarnation == "" {
-		// The acknowledgements so far may have come from an earlier incarnation.
-		progress.incarnation, progress.viewVersion, progress.configVersion = state.Incarnation, 0, 0
+		progress.recordFirstReport(state.Incarnation)
 	}
 	if progress == nil || progress.incarnation != state.Incarnation {
 		progress = &nodeProgress{incarnation: state.Incarnation}
@@ -69,6 +70,16 @@
 	}
 }
 
+// recordFirstReport discards the acknowledgements before a node's first report, which may
+// have come from an earlier incarnation. That of a configuration is kept if it is known
+// to have come from this one: the report may have been made before it.
+func (p *nodeProgress) recordFirstReport(incarnation string) {
+	p.incarnation, p.viewVersion = incarnation, 0
+	if p.ackedIncarnation != incarnation {
+		p.configVersion = 0
+	}
+}
+
 // sendUpdates sends a node the configuration and the view that it has not yet
 // acknowledged.
 func (m *Master) sendUpdates(name string, history *nodeHistory) {
--- a/internal/clustercontroller/updates_test.go
+++ b/internal/clustercontroller/updates_test.go
@@ -219,3 +219,17 @@
 		s.checkCompleteViewAfterGap()
 	})
 }
+
+// Guards against a configuration that is sent twice after a takeover, because the node's
+// first report was made before the acknowledgement and handled after it, and against an
+// acknowledgement of an earlier incarnation that hides that the node needs one.
+func TestAcknowledgementBeforeTheFirstReportCountsForItsIncarnation(t *testing.T) {
+	for acknowledged, want := range map[string]uint64{"i1": 8, "i0": 7, "": 7} {
+		m := &Master{options: Options{Now: func() time.Duration { return time.Second }}, progress: map[string]*nodeProgress{}}
+		progress := m.progressOf("n")
+		response := &meshpb.DeliverConfigResponse{Ok: true, Version: 8, Incarnation: acknowledged}
+		progress.recordConfigAck(&meshpb.DeliverConfigRequest{Version: 8, BaseVersion: 7}, response, true, time.Second)
+		m.updateProgress("n", &meshpb.NodeState{Incarnation: "i1", ConfigVersion: 7})
+		qt.Check(t, m.progress["n"].configVersion, qt.Equals, want, qt.Commentf("acknowledged by %q", acknowledged))
+	}
+}
--- a/internal/nodeagent/config.go
+++ b/internal/nodeagent/config.go
@@ -18,7 +18,7 @@
 		return &meshpb.DeliverConfigResponse{}, nil
 	}
 	ok := a.applyConfig(request)
-	return &meshpb.DeliverConfigResponse{Ok: ok, Version: a.ConfigVersion()}, nil
+	return &meshpb.DeliverConfigResponse{Ok: ok, Version: a.ConfigVersion(), Incarnation: a.Incarnation}, nil
 }
 
 // applyConfig reports whether the active configuration is at least as new as the
