replay: hold the forecast against the run by recorded draws, not by counts

Seen: TestForecastMatchesTheSameTrafficUnderTheChange failed in 2 of 500 runs of unmodified code. Cause: the test, not the product. Forecast and run draw the services of a split anew, so both counts are binomial; at equal shares the variance of their difference is about the count, and the bound of 3 standard errors is passed in 0.27 % of runs, 1.4 of 500, with nothing wrong. Change: what is compared is exact. The requests forecast as rerouted are those whose recorded draw falls into the other service's share, one by one; in the run under the change, each record's service is the one that its draw picks. Any number of wrong requests now fails, where a difference of 3 standard errors was needed before.

--- a/internal/replay/simulate_test.go
+++ b/internal/replay/simulate_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"corkcove/internal/meshtest"
+	"corkcove/internal/routeconfig"
 	"corkcove/internal/rpc/meshpb"
 )
 
@@ -92,7 +93,11 @@
 		`"pathPrefix":"/up/","bindingKind":"upload","timeoutS":2`, `"pathPrefix":"/up/","bindingKind":"upload","timeoutS":0.03`}
 	var recording *meshpb.ReplayFile
 	var responses []meshtest.Response
-	var timedOut, uploads, rerouted int
+	var timedOut, uploads int
+	changed := routeconfig.Compile(parseConfig(t, 2, change...))
+	reroutedByDraw := func(record *meshpb.RequestRecord) bool {
+		return record.Route == "map" && pickedService(t, changed, record) == "desk"
+	}
 	synctest.Test(t, func(t *testing.T) {
 		m := newMesh(nil)
 		m.ApplyConfig(parseConfig(t, 1))
@@ -112,9 +117,7 @@
 						timedOut++
 					}
 				case "map":
-					if record.Service == "desk" {
-						rerouted++
-					}
+					qt.Check(t, record.Service, qt.Equals, pickedService(t, changed, record), qt.Commentf("%s", record.Id))
 				}
 			}
 		}
@@ -128,9 +131,21 @@
 	qt.Assert(t, uploads > 40, qt.IsTrue)
 	qt.Assert(t, timedOut, qt.Equals, uploads)
 	qt.Assert(t, report.Verdicts[VerdictLost], qt.Equals, timedOut)
-	forecastRerouted := report.Verdicts[VerdictRerouted]
-	difference := float64(forecastRerouted - rerouted)
-	qt.Assert(t, difference*difference <= 9*float64(forecastRerouted), qt.IsTrue, qt.Commentf("forecast: %d rerouted, actual: %d", forecastRerouted, rerouted))
+	// Which requests a split reroutes is drawn anew for each sending, so the two runs are
+	// compared by the draws in their records: the same draw gives the same service.
+	rerouted := requestsWith(report, VerdictRerouted)
+	qt.Assert(t, rerouted, qt.DeepEquals, recordIDs(recording, reroutedByDraw))
+	qt.Assert(t, report.Verdicts[VerdictRerouted], qt.Equals, len(rerouted))
+	qt.Assert(t, len(rerouted) > 40, qt.IsTrue, qt.Commentf("%d rerouted", len(rerouted)))
 	qt.Assert(t, len(responses), qt.Equals, 400)
-	t.Logf("timed-out uploads: forecast %d, actual %d; rerouted requests: forecast %d, actual %d", report.Verdicts[VerdictLost], timedOut, forecastRerouted, rerouted)
+}
+
+// pickedService returns the service to which the configuration leads a recorded request.
+func pickedService(t *testing.T, table *routeconfig.Table, record *meshpb.RequestRecord) string {
+	t.Helper()
+	route := table.Match(record.Host, record.Target)
+	qt.Assert(t, route, qt.IsNotNil)
+	index, ok := route.PickService(record.Draw)
+	qt.Assert(t, ok, qt.IsTrue)
+	return table.Services[index].Name
 }
