--- a/internal/coordination/locks.go
+++ b/internal/coordination/locks.go
@@ -112,8 +112,8 @@
 	return locks
 }
 
-// restore adds a lock from a snapshot. age is the part of its time to live that has
-// elapsed.
+// restore adds a lock from a snapshot. age is the time since the lock was granted or
+// renewed; the lock expires when it reaches the time to live.
 func (t *lockTable) restore(l *meshpb.Lock, now, age time.Duration) {
 	ttl := fromMilliseconds(l.TtlMs)
 	t.byName[l.Name] = lock{l.Owner, l.FencingToken, ttl, now + ttl - age}
--- a/internal/endpointagent/admission.go
+++ b/internal/endpointagent/admission.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// reservedSlotDivisor sets the share of slots that reads of hot keys leave free for
-	// other requests: one slot in reservedSlotDivisor, and at least one. An endpoint
-	// with a single slot reserves none.
+	// reservedSlotDivisor is the number of slots for each slot that reads of hot keys may
+	// not use, so that other requests find one free. At least one slot is reserved, but
+	// none at an endpoint with a single slot.
 	reservedSlotDivisor = 4
-	// reservationPeriod is how long slots stay reserved after the last request that
-	// is not a hot read.
+	// reservationPeriod is the time after the last request that is not a hot read at
+	// which the reservation ends.
 	reservationPeriod = time.Second
 	// extraQueueLength is added to the queue limit derived from the slots, so that an
 	// endpoint with a single slot has a queue too.
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -9,22 +9,22 @@
 	"golang.org/x/sys/unix"
 )
 
-// keptHeaderTimeout is how long the client of a connection that was evicted, and kept, may
-// take for the rest of its header.
+// keptHeaderTimeout is the timeout for the rest of a request header if the connection was
+// evicted after the start of the header had been read.
 const keptHeaderTimeout = 3 * time.Second
 
 // connState is the state of a connection in a Limiter.
 type connState = int32
 
 const (
-	// stateWaiting: the connection waits for a request and is in Limiter.waiting.
+	// stateWaiting: no request is in progress; the connection is in Limiter.waiting.
 	stateWaiting connState = iota
 	// stateBusy: a request is in progress.
 	stateBusy
-	// stateEvicted: the read deadline has passed, so that the server closes the
-	// connection unless it has read a byte before.
+	// stateEvicted: the read deadline was set to the past, so that the server closes the
+	// connection unless it has read the start of a request before.
 	stateEvicted
-	// stateClosed: the connection no longer counts.
+	// stateClosed: the connection no longer counts toward the limit.
 	stateClosed
 )
 
@@ -102,7 +102,7 @@
 }
 
 // markBusyIfWaiting records that a request is in progress. If the connection was evicted
-// after the request had been read, it is kept.
+// after the start of the request had been read, the eviction is undone.
 func (c *limitedConn) markBusyIfWaiting() {
 	if state := c.state.Load(); state == stateBusy || state == stateClosed {
 		return
@@ -122,8 +122,8 @@
 	c.limiter.busy++
 }
 
-// hasUnreadBytes reports whether the connection is known to have received bytes that were
-// not read yet.
+// hasUnreadBytes reports whether the socket of the connection has received bytes that were
+// not read yet. It returns false for a connection that is not a socket.
 func hasUnreadBytes(connection net.Conn) bool {
 	withDescriptor, ok := connection.(syscall.Conn)
 	if !ok {
--- a/internal/listen/limiter.go
+++ b/internal/listen/limiter.go
@@ -9,21 +9,23 @@
 )
 
 const (
-	// minEvictionAge is how long a connection must have waited for a request before it
-	// may be evicted. Until then the server may still be setting its deadline.
+	// minEvictionAge is the minimum time since a connection's last response, or since it
+	// was accepted, for an eviction. Before, the server may still replace the deadline by
+	// which it is evicted.
 	minEvictionAge = 100 * time.Millisecond
-	// slotRetryInterval is how often a full limiter looks for a connection to evict.
+	// slotRetryInterval is the interval at which a limiter at its limit tries to evict a
+	// connection.
 	slotRetryInterval = 20 * time.Millisecond
-	// saturatedAfter is how long a limiter must have been full, with no connection to
-	// evict, to count as saturated.
+	// saturatedAfter is the minimum time at the limit, with no connection to evict, for a
+	// limiter to count as saturated.
 	saturatedAfter = time.Second
 )
 
-// Limiter limits the file descriptors that connections of clients take: one for each
-// connection, and another one for each that has a request in progress, for the upstream
-// connection that the request needs. At the limit, the connection that has waited longest
-// for a request is evicted to make room. If all have requests in progress, clients wait
-// in the queue of the listening socket until a connection is closed.
+// Limiter limits the file descriptors used for connections of clients. A connection
+// counts as one descriptor, and as two while a request is in progress, which needs an
+// upstream connection too. At the limit, the connection that has been idle longest is
+// evicted. If all connections have requests in progress, new clients wait in the queue of
+// the listening socket until one is closed.
 //
 // Invariant: a connection from which any byte of a request was read is not evicted before
 // the response is complete.
@@ -36,9 +38,11 @@
 	// open counts the connections and the slot of the next one. busy counts those of
 	// them that have a request in progress.
 	open, busy int
-	// waiting has the connections that wait for a request, longest first.
+	// waiting contains the connections without a request in progress, the one that has
+	// been idle longest first.
 	waiting waitingList
-	// fullSince is since when Accept has waited for a slot; zero if it does not.
+	// fullSince is the time at which Accept began to wait for a free descriptor, or zero
+	// if it does not wait.
 	fullSince time.Time
 }
 
@@ -47,9 +51,9 @@
 	return &Limiter{limit: max(descriptors, 2), freed: make(chan struct{}, 1)}
 }
 
-// Listen returns a listener whose connections count toward the limit. They must be served
-// by a server to which ConnState, ConnContext and Handler of the limiter apply. If
-// accepting fails for a lack of descriptors, a waiting connection is evicted.
+// Listen returns a listener whose connections count toward the limit. The http.Server that
+// serves them must use the limiter's ConnState, ConnContext and Handler. Each error of
+// Accept, such as a lack of descriptors, evicts an idle connection.
 func (m *Limiter) Listen(l *Retrying) net.Listener {
 	l.onError = m.evict
 	return &limitedListener{l, m}
@@ -78,9 +82,9 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
-// Handler returns a handler that passes requests to h and keeps their connections from
-// being evicted. Without it, a request that was read together with the one before it
-// would go unnoticed.
+// Handler returns a handler that marks a request's connection as busy and calls h. This is
+// needed for pipelined requests: the server reads such a request together with the one
+// before it, and reports no change of state.
 func (m *Limiter) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if connection, ok := r.Context().Value(connectionKey{}).(*limitedConn); ok {
@@ -129,8 +133,8 @@
 	}
 }
 
-// evict makes the server close the connection that has waited longest for a request, and
-// of which no unread byte is known. It does nothing if there is none.
+// evict makes the server close the connection that has been idle longest and has received
+// no unread bytes. It does nothing if there is no such connection.
 func (m *Limiter) evict() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -141,8 +145,8 @@
 		}
 		m.waiting.remove(c)
 		c.state.Store(stateEvicted)
-		// The server's read fails, and the server closes the connection. An error means
-		// that it is closed already.
+		// The read of the server fails, and the server closes the connection. An error
+		// means that the connection has been closed.
 		_ = c.Conn.SetReadDeadline(now)
 		return
 	}
--- a/internal/listen/retrying.go
+++ b/internal/listen/retrying.go
@@ -14,17 +14,17 @@
 	// each error in a row.
 	minBackoff = 5 * time.Millisecond
 	maxBackoff = time.Second
-	// failingAfter is how long errors must have lasted for the listener to count as
-	// failing. Shorter ones delay connections no more than a full queue does.
+	// failingAfter is the minimum duration of a series of errors for the listener to
+	// count as failing. Clients wait out a shorter one in the queue of the socket.
 	failingAfter = time.Second
-	// failureExpiry is the age of the last error from which on the listener no longer
-	// counts as failing: an attempt to accept has been waiting since then.
+	// failureExpiry is the age of the last error at which the listener no longer counts
+	// as failing: the current call of Accept waits for a client instead of failing.
 	failureExpiry = 2 * maxBackoff
 )
 
-// Retrying is a net.Listener whose Accept fails only once the listener is closed. After
-// other errors it tries again, because their causes pass: there are no free file
-// descriptors or buffers, or a client has given up.
+// Retrying is a net.Listener whose Accept returns an error only if the listener is closed.
+// After other errors Accept retries with a backoff, because their causes are temporary: a
+// lack of file descriptors or buffers, or a client that has disconnected.
 type Retrying struct {
 	net.Listener
 	log logring.Logger
@@ -37,8 +37,8 @@
 	firstError, lastError time.Time
 }
 
-// Retry returns a listener that accepts the connections of l. It logs when errors begin
-// and when they have ended.
+// Retry returns a listener that accepts the connections of l. It logs the first error of
+// a series, and the first success after it.
 func Retry(l net.Listener, log logring.Logger) *Retrying { return &Retrying{Listener: l, log: log} }
 
 // Accept waits for the next connection. The error is net.ErrClosed.
@@ -60,8 +60,8 @@
 	}
 }
 
-// Failing reports whether no connection can be accepted at present: errors have lasted for
-// failingAfter and have not ended.
+// Failing reports whether Accept has been returning errors for at least failingAfter and
+// still does.
 func (l *Retrying) Failing() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -326,8 +326,8 @@
 	return int(limit)
 }
 
-// replyRelayFailed replies to a request whose response failed before any of it was
-// relayed.
+// replyRelayFailed replies to a request for which reading the endpoint's response failed
+// with err before any part of the response was sent to the calling node.
 func (r *inboundRequest) replyRelayFailed(err error) (done bool) {
 	switch {
 	case canceledByShutdown(r.ctx):
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -22,8 +22,9 @@
 	// invalidUndelimited means that the body of a 2xx response ends with the
 	// connection, so that a truncated body looks like a complete one.
 	invalidUndelimited = "a body whose end can't be told from a break"
-	// invalidNotRunStatus means that the status guarantees that the request has not
-	// run, although the endpoint may have run it.
+	// invalidNotRunStatus means that the status would guarantee to the client that the
+	// request has not run (see localreply.GuaranteesNotRun), but the endpoint, which
+	// did not send headerNotRun, may have run it.
 	invalidNotRunStatus = "a promise by an endpoint that may have run it"
 )
 
--- a/internal/replay/compare.go
+++ b/internal/replay/compare.go
@@ -13,8 +13,8 @@
 
 // CompareOptions are the thresholds for comparing a forecast with a recording.
 type CompareOptions struct {
-	// FalseAlarmRate is the accepted probability, between 0 and 1, that at least one
-	// share of an accurate forecast is reported as a deviation.
+	// FalseAlarmRate is the accepted probability, between 0 and 1, that an accurate
+	// forecast is reported to deviate, that is, that Comparison.Deviations is not empty.
 	FalseAlarmRate float64
 	// Tolerance is the difference between a forecast and an actual share, from 0 to
 	// 1, that is accepted in addition to sampling error. It covers the systematic
--- a/internal/replay/endpoint_model.go
+++ b/internal/replay/endpoint_model.go
@@ -14,9 +14,9 @@
 	// defaultLatency is assumed for a route without a successful attempt in the
 	// recording.
 	defaultLatency = 50 * time.Millisecond
-	// minRelativeLatency is the lower bound of relative latencies. It prevents
-	// latencies near zero, or a division by zero, when latencies are scaled from or
-	// to an endpoint that responded almost immediately.
+	// minRelativeLatency is the lower bound of endpointModel.relativeLatency. It
+	// prevents a division by zero, and latencies near zero, for an endpoint that
+	// responded almost immediately in the recording.
 	minRelativeLatency = 0.05
 	// outcomeWindowUs is the time before and after an attempt, in microseconds,
 	// within which recorded outcomes determine the failure rate.
--- a/internal/replication/follower.go
+++ b/internal/replication/follower.go
@@ -60,9 +60,9 @@
 	}
 	response.Healthy = r.isHealthy(r.self.Id)
 	if header.NotReceiving {
-		// The owner has received nothing from this member for longer than a lease, as its
-		// messages are lost or it was suspended. Nothing is applied; if the owner receives
-		// the response, it is in contact again.
+		// The owner has received no message from this member for longer than a lease,
+		// because messages are lost or the owner was suspended. Nothing is applied, but the
+		// response tells the owner that messages arrive again.
 		response.NotReceiving = true
 		reply(response)
 		return
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -14,13 +14,13 @@
 // none of them is split.
 const maxReplicateBytes = 256 << 10
 
-// unknownPosition is a position that no log contains. A peer for which it is recorded
-// gets full states, because no epoch change can start from it.
+// unknownPosition is a position that no log contains. A peer for which it is recorded is
+// sent the full state of the shard, because no epoch change can start from it.
 var unknownPosition = position{version: 1 << 63}
 
-// replicateToLagging replicates to all members and learners, for the sake of those that
-// don't get each entry immediately (see rankPeers): to each of them once per
-// HeartbeatInterval, or on every tick while a commit is slow.
+// replicateToLagging replicates to all members and learners, to each of them once per
+// HeartbeatInterval, or on every tick while a commit is slow. Only the members that
+// rankPeers prefers are sent each entry immediately; the others would fall behind.
 func (r *Replica) replicateToLagging() {
 	now := r.now()
 	slow := slices.ContainsFunc(r.shards, r.commitIsSlow)
@@ -199,9 +199,9 @@
 	return false
 }
 
-// recordIgnoredEpochChanges has the peer sent full states for the shards whose epoch
-// changes it ignored, after a backoff. A member of an earlier release ignores them,
-// because it doesn't know the message.
+// recordIgnoredEpochChanges makes later requests contain the full state of each shard
+// whose epoch change the peer ignored, after a backoff. A member of an earlier release
+// ignores epoch changes because it does not know the message.
 func (r *Replica) recordIgnoredEpochChanges(p *peer, request *meshpb.ReplicateRequest, response *meshpb.ReplicateResponse) {
 	for _, change := range request.EpochChanges {
 		if !epochChangeIgnored(change, response.Acks) {
@@ -214,9 +214,10 @@
 	}
 }
 
-// epochChangeIgnored reports whether the acknowledgements show that the peer didn't
-// process the epoch change: there is none for the shard, or it reports a gap although
-// the replica is at the position that the change starts from.
+// epochChangeIgnored reports whether the acknowledgements show that the peer did not
+// process the epoch change: no acknowledgement is for its shard, or the one that is
+// reports missing entries although the replica is at the position from which the change
+// starts.
 func epochChangeIgnored(change *meshpb.EpochChange, acks []*meshpb.ReplicateAck) bool {
 	i := slices.IndexFunc(acks, func(ack *meshpb.ReplicateAck) bool { return ack.Shard == change.Shard })
 	if i < 0 {
--- a/internal/replication/scenario_run_test.go
+++ b/internal/replication/scenario_run_test.go
@@ -15,8 +15,8 @@
 	// faulty contains the addresses of the nodes that count as lost.
 	faulty map[string]bool
 	// addedNodes is the number of successors added so far.
-	addedNodes       int
-	unfinishedTracks int
+	addedNodes          int
+	unfinishedSequences int
 	// lastEventAt is when a fault last started or ended, or a node was last added or
 	// removed.
 	lastEventAt time.Duration
@@ -31,7 +31,7 @@
 	ownerlessSince [simShards]time.Duration
 }
 
-// runScenario runs the scenario: it starts the cluster and the workload, runs all tracks
+// runScenario runs the scenario: it starts the cluster and the workload, runs all sequences
 // and kills, then lets the cluster recover without message loss or long delays, and checks
 // that it serves calls and that the results are correct.
 func runScenario(t testingT, sc scenario) *scenarioRun {
@@ -48,12 +48,12 @@
 	startedAt := run.now
 	run.workload.start(startedAt + time.Hour)
 	run.history.start()
-	for _, steps := range sc.Tracks {
+	for _, steps := range sc.Sequences {
 		if sc.Members == 1 {
 			steps = survivableBySingleMember(steps)
 		}
-		run.unfinishedTracks++
-		run.runTrack(steps)
+		run.unfinishedSequences++
+		run.runSequence(steps)
 	}
 	for _, at := range sc.KillAllAt {
 		run.schedule(at, func() {
@@ -65,13 +65,13 @@
 		})
 	}
 	run.checkOwners()
-	for run.unfinishedTracks > 0 && run.now < startedAt+4*time.Minute {
+	for run.unfinishedSequences > 0 && run.now < startedAt+4*time.Minute {
 		run.runUntil(run.now + 250*time.Millisecond)
 	}
-	if run.unfinishedTracks > 0 {
-		run.workload.fail("%d tracks of the scenario did not finish within 4 minutes", run.unfinishedTracks)
+	if run.unfinishedSequences > 0 {
+		run.workload.fail("%d sequences of the scenario did not finish within 4 minutes", run.unfinishedSequences)
 	}
-	// The kills of all processes are due at most 30 s after the tracks start.
+	// The kills of all processes are due at most 30 s after the sequences start.
 	run.runUntil(max(run.now, startedAt+35*time.Second*time.Duration(min(1, len(sc.KillAllAt)))) + 2*catchUpTime)
 	if sc.KillAllAtEnd {
 		run.killAllAndWipe()
@@ -212,21 +212,21 @@
 	return candidates[step.Target%len(candidates)]
 }
 
-// runTrack runs the steps one after another.
-func (r *scenarioRun) runTrack(steps []faultStep) {
+// runSequence runs the steps one after another.
+func (r *scenarioRun) runSequence(steps []faultStep) {
 	if len(steps) == 0 {
-		r.unfinishedTracks--
+		r.unfinishedSequences--
 		return
 	}
 	step := steps[0]
 	r.schedule(step.Wait, func() {
 		if r.now < r.allCaughtUpAt {
 			// All processes were killed. Each node counts as lost until it has caught up.
-			r.schedule(r.allCaughtUpAt-r.now, func() { r.runTrack(steps) })
+			r.schedule(r.allCaughtUpAt-r.now, func() { r.runSequence(steps) })
 			return
 		}
 		continueAt := func(at time.Duration) {
-			r.schedule(max(at-r.now, 0), func() { r.runTrack(steps[1:]) })
+			r.schedule(max(at-r.now, 0), func() { r.runSequence(steps[1:]) })
 		}
 		target := r.pickTarget(step)
 		if target == nil {
@@ -245,7 +245,7 @@
 	*scenarioRun
 	step   faultStep
 	target *simNode
-	// continueAt continues the track with its next step at that time.
+	// continueAt continues the sequence with its next step at that time.
 	continueAt func(at time.Duration)
 }
 
@@ -273,7 +273,7 @@
 	}
 }
 
-// endAfter calls repair after duration to end the fault. The track continues catchUpTime
+// endAfter calls repair after duration to end the fault. The sequence continues catchUpTime
 // later, when the node no longer counts as lost.
 func (f *runningFault) endAfter(duration time.Duration, repair func()) {
 	f.schedule(duration, func() {
@@ -434,7 +434,7 @@
 // as may be lost at once. A single member may not lose its disk.
 func (r *scenarioRun) killAllAndWipe() {
 	r.logEvent("kill all and wipe")
-	toWipe := len(r.scenario.Tracks)
+	toWipe := len(r.scenario.Sequences)
 	if r.scenario.Members == 1 {
 		toWipe = 0
 	}
--- a/internal/replication/scenario_test.go
+++ b/internal/replication/scenario_test.go
@@ -65,7 +65,7 @@
 
 func (f fault) String() string { return faultNames[f] }
 
-// faultStep is a fault at one node, as part of a track.
+// faultStep is a fault at one node, as part of a sequence of faults.
 type faultStep struct {
 	// Fault is what happens to the node.
 	Fault fault
@@ -85,20 +85,20 @@
 
 // scenario is a cluster size and a sequence of faults that the cluster must survive.
 //
-// The number of tracks is the number of nodes that may be lost at once. The steps of a
-// track run one after another; the next one begins when the node of the previous one, or
+// There is a sequence of faults for each node that may be lost at once. The steps of a
+// sequence run one after another; the next one begins when the node of the previous one, or
 // its successor, has had catchUpTime to catch up. So no more nodes are lost at any time
-// than there are tracks, and every shard must have an owner whenever the last fault started
+// than there are sequences, and every shard must have an owner whenever the last fault started
 // or ended more than settleTime ago.
 type scenario struct {
 	// Seed determines all random choices of the simulation.
 	Seed int64
 	// Members is the number of members of the cluster.
 	Members int
-	// Tracks contains the steps of each track.
-	Tracks [][]faultStep
+	// Sequences contains the steps of each sequence of faults.
+	Sequences [][]faultStep
 	// KillAllAt are the times at which all processes are killed, counted from the start of
-	// the tracks. The random ones are at most 30 s.
+	// the sequences. The random ones are at most 30 s.
 	KillAllAt []time.Duration
 	// KillAllAfterAck delays each of these kills until the next change is acknowledged.
 	KillAllAfterAck bool
@@ -108,7 +108,7 @@
 	LossRate      float64
 	DelayRate     float64
 	DuplicateRate float64
-	// KillAllAtEnd kills all processes after the tracks, and wipes as many disks as nodes
+	// KillAllAtEnd kills all processes after the sequences, and wipes as many disks as nodes
 	// may be lost at once.
 	KillAllAtEnd bool
 }
@@ -130,13 +130,13 @@
 }
 
 // drawScenario generates scenarios of the given sizes, each a number of members and a
-// number of tracks.
+// number of sequences.
 func drawScenario(sizes [][2]int) *rapid.Generator[scenario] {
 	return rapid.Custom(func(t *rapid.T) scenario {
 		size := rapid.SampledFrom(sizes).Draw(t, "size")
 		drawn := scenario{Members: size[0], Seed: rapid.Int64Range(1, 1<<40).Draw(t, "seed")}
 		for range size[1] {
-			drawn.Tracks = append(drawn.Tracks, rapid.SliceOfN(drawStep(size[0]), 0, 4).Draw(t, "track"))
+			drawn.Sequences = append(drawn.Sequences, rapid.SliceOfN(drawStep(size[0]), 0, 4).Draw(t, "sequence"))
 		}
 		for range rapid.IntRange(0, 2).Draw(t, "kill all") {
 			drawn.KillAllAt = append(drawn.KillAllAt, drawDuration(t, "kill all at", 3*time.Second, 30*time.Second))
@@ -198,7 +198,7 @@
 // map: two runs of one scenario must log the same lines.
 func TestScenarioIsDeterministic(t *testing.T) {
 	sc := scenario{Seed: 9, Members: 5, DuplicateRate: 0.05, LossRate: 0.02, DelayRate: 0.02, KillAllAt: []time.Duration{9 * time.Second}, KillAllAtEnd: true,
-		Tracks: [][]faultStep{{{Fault: plannedReplacement, Wait: 100 * time.Millisecond, Gap: time.Second}, {Fault: partition, TargetMaster: true, Duration: 3 * time.Second}},
+		Sequences: [][]faultStep{{{Fault: plannedReplacement, Wait: 100 * time.Millisecond, Gap: time.Second}, {Fault: partition, TargetMaster: true, Duration: 3 * time.Second}},
 			{{Fault: wipe, Target: 3, Duration: time.Second}, {Fault: freeze, TargetMaster: true, Duration: 2 * time.Second}}}}
 	first, second := runScenario(t, sc), runScenario(t, sc)
 	if len(first.logLines) != len(second.logLines) {
--- a/internal/requestlog/recorder_test.go
+++ b/internal/requestlog/recorder_test.go
@@ -24,7 +24,7 @@
 
 func constantBalance(string) float64 { return 2 }
 
-// addRecords records count requests at intervals of 100 ms.
+// addRecords adds the records of count requests, which start 100 ms apart.
 func addRecords(r *Recorder, clock *fakeClock, count int) {
 	for i := range count {
 		clock.now = clock.now.Add(100 * time.Millisecond)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,8 +64,8 @@
 	ZoneName string `toml:"siteName"`
 	// RegionName is the region of the machine.
 	RegionName string `toml:"regionName"`
-	// LossCounted reports whether the loss of this machine counts towards
-	// Tolerance.MachineLosses.
+	// LossCounted is true if Tolerance.MachineLosses limits the loss of this machine.
+	// Any number of other machines may be lost.
 	LossCounted bool `toml:"lossCounted"`
 	// FirstStart must be true only when the whole system starts for the first time
 	// with empty disks: the seeds then bootstrap the core. If it is set at any other
@@ -191,8 +191,8 @@
 	// ReuseAfterSeconds is the time after an endpoint has ended before another
 	// service may reuse its address.
 	ReuseAfterSeconds float64 `toml:"reuseAfterS"`
-	// MinUndisturbedSeconds is how long a machine must have run without a fault
-	// before the bounds apply to it.
+	// MinUndisturbedSeconds is the time without a fault after which the bounds apply
+	// to a machine.
 	MinUndisturbedSeconds float64 `toml:"contactS"`
 	// AckSeconds is the maximum time until a change is acknowledged.
 	AckSeconds float64 `toml:"ackS"`
@@ -212,8 +212,8 @@
 	// ConfigApplySeconds is the maximum time until all nodes apply a new
 	// configuration.
 	ConfigApplySeconds float64 `toml:"configApplyS"`
-	// RevertSlackSeconds is how long after a configuration version first takes
-	// effect requests may still be handled according to the previous version.
+	// RevertSlackSeconds is the period, from the first effect of a configuration
+	// version, in which requests may still be handled according to the previous one.
 	RevertSlackSeconds float64 `toml:"revertSlackS"`
 	// ConfigApplyExtensionSeconds extends ConfigApplySeconds while the core has no
 	// owner.
@@ -229,8 +229,8 @@
 	// RecoverySeconds is the maximum time until service is restored after a complete
 	// outage.
 	RecoverySeconds float64 `toml:"recoverS"`
-	// HistorySeconds is how long a watcher may be disconnected without missing
-	// events. If it is too short, watchers have to read all keys again.
+	// HistorySeconds is the maximum time for which a watcher may be disconnected
+	// without missing events. If it is too short, watchers have to read all keys again.
 	HistorySeconds float64 `toml:"historyS"`
 	// LockReleaseSeconds is the maximum time until an expired lock is released.
 	LockReleaseSeconds float64 `toml:"releaseS"`
@@ -251,7 +251,7 @@
 	// MaxRequests is the maximum number of records; default 4,096, 0 disables
 	// recording.
 	MaxRequests int `toml:"requests"`
-	// RetentionSeconds is how long records are kept; default 120.
+	// RetentionSeconds is the age at which records are dropped; default 120.
 	RetentionSeconds float64 `toml:"spanS"`
 }
 
@@ -267,8 +267,8 @@
 	// MaxEndpoints is the maximum number of endpoints that serve the reads of a key;
 	// 1 to 1,024, default 32.
 	MaxEndpoints int `toml:"mostWidth"`
-	// DecaySeconds is how long the demand for a key must have been lower before its
-	// reads go to fewer endpoints; 0.5 to 600, default 5.
+	// DecaySeconds is the minimum time of lower demand for a key before its reads are
+	// spread over fewer endpoints; 0.5 to 600, default 5.
 	DecaySeconds float64 `toml:"fallS"`
 	// SlowStartSeconds is the time over which an endpoint that was added for a key
 	// ramps up to its full share of the reads; 0 to 60, default 2.
--- a/internal/wal/stored_test.go
+++ b/internal/wal/stored_test.go
@@ -116,7 +116,8 @@
 	writeGeneration(t, dir, []string{"first", "second"}, "\x00\xff third", "fourth")
 }
 
-// writeTornSegment truncates the segment's last record by one byte.
+// writeTornSegment writes a segment whose last record lacks its last byte, as after a
+// loss of power during the write.
 func writeTornSegment(t *testing.T, dir string) {
 	writeSnapshotAndSegment(t, dir)
 	files := filesIn(t, dir)
