replication: model test of a processor quota that stops processes for 90 of 100 ms

Change: simulated nodes may be throttled; TestProcessorQuotaChangesNoOwner runs 3 and 5 members, 20 seeds each, 30 s under load with all processes throttled, then kills an owner. Result (model): no owner changed, calls were served, and the shards of the killed owner were taken over within the settle time and a second.

--- a/internal/replication/recovery_test.go
+++ b/internal/replication/recovery_test.go
@@ -168,6 +168,48 @@
 	}
 }
 
+// epochs returns the epoch of each shard at its owner, 0 if it has none.
+func epochs(cluster *simCluster) (epochs [simShards]uint64) {
+	for shard := range simShards {
+		for _, node := range cluster.allNodes() {
+			if !node.running {
+				continue
+			}
+			if epoch, owned := node.replica.OwnedEpoch(shard); owned {
+				epochs[shard] = epoch
+			}
+		}
+	}
+	return epochs
+}
+
+// TestProcessorQuotaChangesNoOwner guards against leases that expire, and members that are
+// taken for failed, because a processor quota stops each process for 90 of every 100 ms.
+// After a crash of an owner the others must take over as without a quota.
+func TestProcessorQuotaChangesNoOwner(t *testing.T) {
+	for _, members := range []int{3, 5} {
+		for seed := range int64(20) {
+			cluster := newSimCluster(t, seed, members)
+			for _, node := range cluster.allNodes() {
+				node.setQuota(quotaPeriod / 10)
+			}
+			cluster.runUntil(5 * time.Second)
+			before := epochs(cluster)
+			load := newWorkload(cluster)
+			load.start(cluster.now + 40*time.Second)
+			cluster.runUntil(cluster.now + 30*time.Second)
+			requireServing(t, cluster, load, 1000)
+			qt.Assert(t, epochs(cluster), qt.Equals, before, qt.Commentf("%d members, seed %d", members, seed))
+			owner, _ := cluster.nodes["m1"].replica.Owner(0)
+			cluster.nodes[owner.Addr].kill()
+			cluster.runUntil(cluster.now + settleTime + time.Second)
+			servedBefore := load.served
+			cluster.runUntil(cluster.now + 3*time.Second)
+			requireServing(t, cluster, load, servedBefore+50)
+		}
+	}
+}
+
 // executeNow executes a change of the shard's table at the shard's owner, and returns the
 // error once the outcome is known.
 func executeNow(t *testing.T, cluster *simCluster, shard int, decide func(*coordination.Table) *meshpb.Change) error {
--- a/internal/replication/sim_node_test.go
+++ b/internal/replication/sim_node_test.go
@@ -10,6 +10,9 @@
 	"corkcove/internal/rpc/meshpb"
 )
 
+// quotaPeriod is the period of a processor quota.
+const quotaPeriod = 100 * time.Millisecond
+
 // simNode is a simulated machine. It has a disk and, while running is set, a process with a
 // replica.
 type simNode struct {
@@ -31,10 +34,11 @@
 	bootstrap      bool
 	// tickDelay is how much longer than usual the time between two ticks is.
 	tickDelay time.Duration
-	// frozen is set while the process is suspended. The events that it would handle wait in
-	// backlog.
-	frozen  bool
-	backlog []func()
+	// frozen is set while the process is suspended, throttled while its processor quota is
+	// spent. The events that it would handle wait in backlog.
+	frozen    bool
+	throttled bool
+	backlog   []func()
 	// leaving is set from SIGTERM until the process exits; see scenarioRun.terminate.
 	leaving  bool
 	addedAt  time.Duration
@@ -46,12 +50,12 @@
 	return n.addedAt+discoveryLag <= now && (n.running || now < n.killedAt+discoveryLag) || n.addedAt == 0 && now < discoveryLag
 }
 
-// deliver runs a function in the given incarnation of the process, after unfreeze if the
-// process is frozen. If that incarnation no longer runs, deliver does nothing.
+// deliver runs a function in the given incarnation of the process, or later if the process
+// is frozen or throttled. If that incarnation no longer runs, deliver does nothing.
 func (n *simNode) deliver(incarnation int, function func()) {
 	switch {
 	case n.incarnation != incarnation:
-	case n.frozen:
+	case n.frozen || n.throttled:
 		n.backlog = append(n.backlog, func() { n.deliver(incarnation, function) })
 	default:
 		function()
@@ -64,6 +68,27 @@
 // unfreeze resumes the process, which then handles its backlog.
 func (n *simNode) unfreeze() {
 	n.frozen = false
+	n.handleBacklog()
+}
+
+// setQuota makes the process run only for the given part of each quotaPeriod, from now on.
+// The periods of the nodes begin at different times.
+func (n *simNode) setQuota(quota time.Duration) {
+	var begin func()
+	begin = func() {
+		n.throttled = false
+		n.handleBacklog()
+		n.cluster.schedule(quota, func() { n.throttled = true })
+		n.cluster.schedule(quotaPeriod, begin)
+	}
+	n.cluster.schedule(time.Duration(n.cluster.rng.Int63n(int64(quotaPeriod))), begin)
+}
+
+// handleBacklog handles the events that waited while the process did not run.
+func (n *simNode) handleBacklog() {
+	if n.frozen || n.throttled {
+		return
+	}
 	backlog := n.backlog
 	n.backlog = nil
 	for _, f := range backlog {
