proxy: requests of clients that left while queued reach no endpoint

Found by reading, shown by a test. Cause: net/http notices a closed connection only behind the body. The sidecar beside the endpoint let requests wait for a slot with their bodies unread and forwarded them then. Requests that find a slot free cost the same.

--- a/internal/endpointagent/admission.go
+++ b/internal/endpointagent/admission.go
@@ -84,16 +84,25 @@
 	}
 }
 
+// QueueObserver is informed that a request must wait for a slot.
+type QueueObserver interface {
+	// Queued is called on the goroutine of the request, after it has joined the queue.
+	// The request may be assigned a slot while Queued runs.
+	Queued()
+}
+
 // Admit assigns a slot of the incarnation id to a request. If no slot is available,
 // it waits in a queue ordered by priority until a slot is assigned, the request is
 // rejected, priority.Deadline passes or ctx ends. It rejects the request immediately
 // if the incarnation accepts no requests, if the estimated wait exceeds maxWait, or
 // if the queue is full.
 //
+// If the request joins the queue, Admit calls observer.Queued, unless observer is nil.
+//
 // If the reason is NotRejected, the caller holds a slot and must call the returned
 // function exactly once, when the endpoint has finished the request. Otherwise the
 // returned function is nil.
-func (a *Agent) Admit(ctx context.Context, id string, priority Priority, maxWait time.Duration) (func(), RejectReason) {
+func (a *Agent) Admit(ctx context.Context, id string, priority Priority, maxWait time.Duration, observer QueueObserver) (func(), RejectReason) {
 	a.mu.Lock()
 	if reason := a.rejectReason(id); reason != NotRejected {
 		a.mu.Unlock()
@@ -115,7 +124,10 @@
 	w := &waiter{Priority: priority, decision: make(chan RejectReason, 1)}
 	heap.Push(&a.queue, w)
 	a.mu.Unlock()
-	return a.awaitDecision(ctx, id, w, priority.Deadline.Sub(now))
+	if observer != nil {
+		observer.Queued()
+	}
+	return a.awaitDecision(ctx, id, w, priority.Deadline.Sub(a.options.Now()))
 }
 
 // awaitDecision waits until a queued request is admitted or rejected, the timeout
--- a/internal/endpointagent/admission_test.go
+++ b/internal/endpointagent/admission_test.go
@@ -76,7 +76,7 @@
 	request.decided = make(chan struct{})
 	afterDrain := r.draining
 	go func() {
-		request.release, request.reason = r.agent.Admit(ctx, "a", Priority{Rank: i, Deadline: time.Now().Add(time.Hour)}, time.Hour)
+		request.release, request.reason = r.agent.Admit(ctx, "a", Priority{Rank: i, Deadline: time.Now().Add(time.Hour)}, time.Hour, nil)
 		close(request.decided)
 	}()
 	synctest.Wait()
@@ -136,7 +136,7 @@
 			qt.Check(t, a.Status().ID, qt.Equals, r.wantID)
 			qt.Check(t, a.RecordHeartbeat(heartbeat("a", "ready", 9)), qt.IsFalse, qt.Commentf("heartbeat of an ended incarnation was accepted"))
 			qt.Check(t, a.Status().ID, qt.Equals, "b")
-			release, reason := a.Admit(ctx, "b", Priority{Deadline: time.Now().Add(time.Hour)}, time.Hour)
+			release, reason := a.Admit(ctx, "b", Priority{Deadline: time.Now().Add(time.Hour)}, time.Hour, nil)
 			qt.Check(t, reason, qt.Equals, NotRejected)
 			release()
 		})
@@ -154,7 +154,7 @@
 		a.RecordHeartbeat(h)
 		var releases []func()
 		for i := 0; i < 4; i++ {
-			release, reason := a.Admit(context.Background(), "a", Priority{Deadline: time.Now().Add(time.Minute)}, time.Minute)
+			release, reason := a.Admit(context.Background(), "a", Priority{Deadline: time.Now().Add(time.Minute)}, time.Minute, nil)
 			qt.Assert(t, reason, qt.Equals, NotRejected)
 			releases = append(releases, release)
 		}
@@ -165,7 +165,7 @@
 			deadline time.Duration // in seconds from now
 		}{{false, 2, 10}, {false, 1, 30}, {true, 0, 5}, {false, 1, 20}, {false, 0, 40}} {
 			go func() {
-				release, reason := a.Admit(context.Background(), "a", Priority{Late: request.late, Rank: request.rank, Deadline: time.Now().Add(request.deadline * time.Second)}, time.Minute)
+				release, reason := a.Admit(context.Background(), "a", Priority{Late: request.late, Rank: request.rank, Deadline: time.Now().Add(request.deadline * time.Second)}, time.Minute, nil)
 				admitted <- fmt.Sprintf("%d %d %s", request.rank, int(request.deadline), reason)
 				if release != nil {
 					release()
@@ -190,26 +190,26 @@
 		priority := func(hotRead bool) Priority {
 			return Priority{Deadline: time.Now().Add(time.Minute), HotRead: hotRead}
 		}
-		release, reason := a.Admit(context.Background(), "a", priority(false), 0)
+		release, reason := a.Admit(context.Background(), "a", priority(false), 0, nil)
 		qt.Assert(t, reason, qt.Equals, NotRejected)
 		release()
 		var releases []func()
 		for range 6 {
-			release, reason := a.Admit(context.Background(), "a", priority(true), 0)
+			release, reason := a.Admit(context.Background(), "a", priority(true), 0, nil)
 			qt.Assert(t, reason, qt.Equals, NotRejected)
 			releases = append(releases, release)
 		}
 		// A seventh hot read is queued, and other requests overtake it.
 		decision := make(chan RejectReason, 1)
 		go func() {
-			release, reason := a.Admit(context.Background(), "a", priority(true), time.Minute)
+			release, reason := a.Admit(context.Background(), "a", priority(true), time.Minute, nil)
 			decision <- reason
 			release()
 		}()
 		synctest.Wait()
 		qt.Assert(t, len(decision), qt.Equals, 0)
 		for range 2 {
-			release, reason := a.Admit(context.Background(), "a", priority(false), 0)
+			release, reason := a.Admit(context.Background(), "a", priority(false), 0, nil)
 			qt.Assert(t, reason, qt.Equals, NotRejected)
 			releases = append(releases, release)
 		}
--- a/internal/endpointagent/agent_test.go
+++ b/internal/endpointagent/agent_test.go
@@ -16,11 +16,11 @@
 	a.RecordHeartbeat(heartbeat("a", "ready", 1))
 	now = now.Add(3500 * time.Millisecond)
 	a.Tick()
-	_, reason := a.Admit(context.Background(), "a", Priority{Deadline: now.Add(time.Second)}, time.Second)
+	_, reason := a.Admit(context.Background(), "a", Priority{Deadline: now.Add(time.Second)}, time.Second, nil)
 	qt.Check(t, reason, qt.Equals, RejectedUnhealthy)
 	qt.Check(t, a.RecordHeartbeat(heartbeat("a", "ready", 1)), qt.IsFalse)
 	qt.Check(t, a.RecordHeartbeat(heartbeat("a", "ready", 2)), qt.IsTrue)
-	release, reason := a.Admit(context.Background(), "a", Priority{Deadline: now.Add(time.Second)}, time.Second)
+	release, reason := a.Admit(context.Background(), "a", Priority{Deadline: now.Add(time.Second)}, time.Second, nil)
 	qt.Check(t, reason, qt.Equals, NotRejected)
 	release()
 }
--- a/internal/endpointagent/bench_test.go
+++ b/internal/endpointagent/bench_test.go
@@ -13,7 +13,7 @@
 	ctx, priority := context.Background(), Priority{Deadline: time.Now().Add(time.Hour)}
 	b.ReportAllocs()
 	for b.Loop() {
-		release, _ := a.Admit(ctx, "a", priority, time.Hour)
+		release, _ := a.Admit(ctx, "a", priority, time.Hour, nil)
 		a.RecordOutcome("a", true)
 		a.RecordResponse("a", time.Millisecond)
 		release()
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -162,6 +163,29 @@
 	return b.reader.Read(p)
 }
 
+// checkedBody is a request body that consists of a buffered part and the rest. It reads
+// from the rest before it returns the buffered part: if the client has disconnected, that
+// fails, and nothing of the body is sent.
+type checkedBody struct {
+	buffered []byte
+	rest     io.Reader
+	// whole reads the body; it is nil before the first read.
+	whole io.Reader
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(p []byte) (int, error) {
+	if b.whole == nil {
+		next := make([]byte, copyBufferSize)
+		n, err := b.rest.Read(next)
+		if n == 0 && err != nil && !errors.Is(err, io.EOF) {
+			return 0, err
+		}
+		b.whole = io.MultiReader(bytes.NewReader(b.buffered), bytes.NewReader(next[:n]), b.rest)
+	}
+	return b.whole.Read(p)
+}
+
 // endAttempt ends the current attempt and reports whether any attempt has started to
 // read.
 func (b *remainingBody) endAttempt() (started bool) {
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -45,7 +44,7 @@
 	}
 	// The body can't be resent, so send it only once the receiver asks for it.
 	headers["Expect"] = []string{"100-continue"}
-	attempt.Body = singleUseBody{io.MultiReader(bytes.NewReader(r.body.buffered), r.body.remaining.forAttempt())}
+	attempt.Body = singleUseBody{&checkedBody{buffered: r.body.buffered, rest: r.body.remaining.forAttempt()}}
 	return attempt
 }
 
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -115,6 +115,10 @@
 	// pending is the request's entry in Inbound.pending.
 	pending *pendingRequest
 
+	// body is the part of the request's body that was read before the request is
+	// forwarded.
+	body inboundBody
+
 	// releaseSlot frees the request's slot at the endpoint. It is set by admit and
 	// may be called more than once.
 	releaseSlot func()
@@ -186,7 +190,7 @@
 		Deadline: r.deadline,
 		HotRead:  h.Get(headerHotKey) != "",
 	}
-	release, rejected := r.inbound.options.Agent.Admit(r.ctx, r.incarnation, priority, r.maxQueueWait())
+	release, rejected := r.inbound.options.Agent.Admit(r.ctx, r.incarnation, priority, r.maxQueueWait(), r)
 	if rejected != endpointagent.NotRejected {
 		return r.reply(nodeRejected, string(rejected))
 	}
@@ -212,6 +216,9 @@
 // forward sends the request to the endpoint and relays the response, or replies with
 // the reason why there is none.
 func (r *inboundRequest) forward() (done bool) {
+	if r.body.queued && !r.body.complete && !r.readFirstPart() {
+		return r.reply(nodeRejected, string(endpointagent.RejectedCanceled))
+	}
 	request := r.newRequest()
 	started := time.Now()
 	idempotent := r.request.Header.Get(headerOnce) == ""
@@ -247,7 +254,7 @@
 		forwarded.Body = singleUseBody{strings.NewReader("")}
 		return forwarded
 	}
-	forwarded.Body = singleUseBody{limitToLength(r.request.Body, r.request.ContentLength)}
+	forwarded.Body = singleUseBody{r.body.reader(r.request)}
 	setReadDeadline(r.writer, r.deadline)
 	return forwarded
 }
