Tests: configuration reads across cuts and thaws; no attempt after the client left

Change: TestConfigurationReadsAreNeverOlderAcrossCutsAndThaws: real handlers, two operators, the core cut into two parts both ways or one way while callers reach both, members that stand still and resume. TestNoAttemptBeginsAfterTheClientLeft: on edge and sidecar, no hedged attempt or retry once the client has closed its connection.

--- a/internal/controlapi/cluster_test.go
+++ b/internal/controlapi/cluster_test.go
@@ -124,15 +124,18 @@
 	members []*member
 	// disconnected holds the addresses that exchange no messages with others.
 	disconnected map[string]bool
-	lastID       int
-	started      time.Time
-	wg           sync.WaitGroup
+	// cut holds pairs of addresses: no message of the first member reaches the second.
+	// Callers still reach both.
+	cut     map[[2]string]bool
+	lastID  int
+	started time.Time
+	wg      sync.WaitGroup
 }
 
 // newCluster starts a core with size members. Members without a given disk get an empty
 // one. The core is bootstrapped if no disks are given.
 func newCluster(t *testing.T, size int, disks ...*memoryDisk) *cluster {
-	c := &cluster{t: t, disconnected: map[string]bool{}, started: time.Now()}
+	c := &cluster{t: t, disconnected: map[string]bool{}, cut: map[[2]string]bool{}, started: time.Now()}
 	for i := range size {
 		m := &member{cluster: c, addr: fmt.Sprint("m", i), disk: &memoryDisk{}}
 		if i < len(disks) {
@@ -198,6 +201,27 @@
 	c.mu.Unlock()
 }
 
+// setCut cuts the link from one member to another, or restores it.
+func (c *cluster) setCut(from, to string, cut bool) {
+	c.mu.Lock()
+	c.cut[[2]string{from, to}] = cut
+	c.mu.Unlock()
+}
+
+func (c *cluster) isCut(from, to string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cut[[2]string{from, to}]
+}
+
+// freeze stops the member's replica, as if its process were suspended, until the returned
+// function is called. Requests to it wait.
+func (m *member) freeze() (thaw func()) {
+	thawed := make(chan struct{})
+	m.mailbox.Post(func() { <-thawed })
+	return func() { close(thawed) }
+}
+
 // incarnationAt returns the incarnation at an address, and whether it is connected.
 func (c *cluster) incarnationAt(addr string) (incarnation, bool) {
 	c.mu.Lock()
@@ -247,13 +271,13 @@
 		var noResponse R
 		target, reachable := t.from.cluster.incarnationAt(to)
 		_, connected := t.from.cluster.incarnationAt(t.from.addr)
-		if !reachable || !connected {
+		if !reachable || !connected || t.from.cluster.isCut(t.from.addr, to) {
 			<-ctx.Done()
 			t.mailbox.Post(func() { done(noResponse) })
 			return
 		}
 		response, err := method(replication.Handler{Mailbox: target.mailbox, Replica: target.replica}, ctx, message)
-		if _, connected = t.from.cluster.incarnationAt(t.from.addr); err != nil || !connected {
+		if _, connected = t.from.cluster.incarnationAt(t.from.addr); err != nil || !connected || t.from.cluster.isCut(to, t.from.addr) {
 			response = noResponse
 		}
 		t.mailbox.Post(func() { done(response) })
--- a/internal/controlapi/operators_test.go
+++ b/internal/controlapi/operators_test.go
@@ -213,3 +213,69 @@
 	t.Logf("%d changes accepted, %d rejected", accepted, rejected)
 	qt.Assert(t, accepted > int(*seeds)*40 && rejected > int(*seeds)*10, qt.IsTrue)
 }
+
+// injectCuts cuts the members into two parts until end, again and again, both ways or one
+// way, and freezes one of them in some of the cuts. Callers reach all members.
+func (c *cluster) injectCuts(rng *rand.Rand, end time.Time) {
+	sleepUpTo := func(n int) { time.Sleep(time.Duration(rng.Intn(n)) * time.Millisecond) }
+	for time.Now().Before(end) {
+		sleepUpTo(1500)
+		part := 1 + rng.Intn(len(c.members)-1)
+		order := rng.Perm(len(c.members))
+		oneWay := rng.Intn(2) == 0
+		setCut := func(cut bool) {
+			for _, a := range order[:part] {
+				for _, b := range order[part:] {
+					c.setCut(c.members[a].addr, c.members[b].addr, cut)
+					c.setCut(c.members[b].addr, c.members[a].addr, cut && !oneWay)
+				}
+			}
+		}
+		thaw := func() {}
+		if rng.Intn(2) == 0 {
+			thaw = c.members[rng.Intn(len(c.members))].freeze()
+			sleepUpTo(1500)
+		}
+		setCut(true)
+		sleepUpTo(4000)
+		if rng.Intn(2) == 0 {
+			thaw()
+			sleepUpTo(500)
+			setCut(false)
+			continue
+		}
+		setCut(false)
+		sleepUpTo(500)
+		thaw()
+	}
+}
+
+// Guards against a read of the configuration, at any member, that shows an older version
+// than one that was acknowledged or read before it was sent, while the core is cut into
+// two parts that callers reach both of, and while suspended members resume.
+func TestConfigurationReadsAreNeverOlderAcrossCutsAndThaws(t *testing.T) {
+	accepted := 0
+	for seed := int64(1); seed <= *seeds; seed++ {
+		synctest.Test(t, func(t *testing.T) {
+			core := newCluster(t, 3)
+			defer core.close()
+			history := &operatorHistory{t: t, name: fmt.Sprint("seed ", seed), accepted: map[operatorRequest]uint64{}, rejected: map[operatorRequest]uint64{}}
+			end := time.Now().Add(30 * time.Second)
+			var wg sync.WaitGroup
+			for i := range int64(2) {
+				wg.Go(func() { core.runOperator(rand.New(rand.NewSource(2*seed+i)), history, end) })
+			}
+			wg.Go(func() { core.injectCuts(rand.New(rand.NewSource(-seed)), end) })
+			wg.Wait()
+			current, _ := routeconfig.ParseVersion(core.currentVersion())
+			for change, version := range history.accepted {
+				qt.Check(t, version <= current, qt.IsTrue, qt.Commentf("%s: %s %s was accepted, but the current version is %s", history.name, change.method, formatVersion(version), formatVersion(current)))
+			}
+			accepted += len(history.accepted)
+		})
+		if t.Failed() {
+			t.Fatalf("failed with seed %d", seed)
+		}
+	}
+	qt.Assert(t, accepted > int(*seeds)*20, qt.IsTrue, qt.Commentf("%d changes accepted", accepted))
+}
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -11,14 +11,16 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// sendAndLeave sends a request with a body and closes its connection after the given time.
-func (rig *shutdownRig) sendAndLeave(method, path, body string, after time.Duration) {
+// sendAndLeave sends a request with a body, which endpoints work on for the given time, and
+// closes its connection after another.
+func (rig *shutdownRig) sendAndLeave(method, path, body string, workTime, after time.Duration) {
 	ctx, leave := context.WithTimeout(context.Background(), after)
 	defer leave()
 	r, _ := http.NewRequestWithContext(ctx, method, "http://out"+path, strings.NewReader(body))
 	r.Host = "a"
 	r.Header.Set(headerRequestID, fmt.Sprint("left", rig.sent.Add(1)))
 	r.Header.Set(headerDeadline, formatMillis(testDeadline))
+	r.Header.Set(headerWorkTime, workTime.String())
 	transport := rig.network.Transport()
 	transport.DisableKeepAlives = true
 	if response, err := transport.RoundTrip(r); err == nil {
@@ -43,10 +45,28 @@
 				if method == "GET" {
 					path = "/p/"
 				}
-				rig.sendAndLeave(method, path, strings.Repeat("x", size), 200*time.Millisecond)
+				rig.sendAndLeave(method, path, strings.Repeat("x", size), quickWork, 200*time.Millisecond)
 				time.Sleep(5 * time.Second)
 				qt.Assert(t, rig.runs(), qt.Equals, int64(2))
 			})
 		}
 	}
 }
+
+// Guards against a retry or a hedged attempt that begins after the client has left.
+func TestNoAttemptBeginsAfterTheClientLeft(t *testing.T) {
+	const leavesAfter = 30 * time.Millisecond
+	eachShutdownNode(t, func(t *testing.T, rig *shutdownRig) {
+		// An average of quickWork makes the hedged attempt due soon, and without a client
+		// that leaves there is one.
+		rig.sendQuickRequests(t, "/p/")
+		before := rig.runs()
+		rig.sendAndLeave("GET", "/p/", "", stuckWork, 2*time.Second)
+		qt.Assert(t, rig.runs() > before+1, qt.IsTrue)
+		time.Sleep(stuckWork)
+		before = rig.runs()
+		rig.sendAndLeave("GET", "/p/", "", stuckWork, leavesAfter)
+		time.Sleep(5 * time.Second)
+		qt.Assert(t, rig.runs(), qt.Equals, before+1)
+	})
+}
