--- a/cmd/controlload/configuration.go
+++ b/cmd/controlload/configuration.go
@@ -60,7 +60,7 @@
 }
 
 // tryPutConfiguration sends the configuration to one core and reports whether the
-// core accepted it. It returns an error only if the request can't be created.
+// core accepted it. It returns an error only if the request cannot be created.
 func tryPutConfiguration(ip string, base int, body []byte) (accepted bool, err error) {
 	request, err := http.NewRequest(http.MethodPut, "http://"+joinAddress(ip, controlPort)+"/-/configuration", bytes.NewReader(body))
 	if err != nil {
--- a/cmd/controlload/scenario.go
+++ b/cmd/controlload/scenario.go
@@ -64,7 +64,7 @@
 }
 
 // start sends the first configuration, starts all nodes and waits until they have the
-// configuration and a view with all endpoints. It returns an error if they don't get
+// configuration and a view with all endpoints. It returns an error if they do not get
 // them in time.
 func (s *scenario) start() error {
 	r := s.report
--- a/cmd/controlload/simulatednode.go
+++ b/cmd/controlload/simulatednode.go
@@ -51,7 +51,7 @@
 }
 
 // startNode starts node i and adds it to the mesh. It returns an error if the node
-// can't listen on its address.
+// cannot listen on its address.
 func (m *loadMesh) startNode(i int) error {
 	n := &simulatedNode{address: joinAddress(nodeIP(i), internalPort)}
 	listener, err := net.Listen("tcp", n.address)
--- a/cmd/controlload/usage.go
+++ b/cmd/controlload/usage.go
@@ -25,7 +25,7 @@
 )
 
 // cpuTime returns the CPU time that a process has used, or 0 if its entry in /proc
-// can't be read.
+// cannot be read.
 func cpuTime(pid int) time.Duration {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
@@ -37,7 +37,7 @@
 }
 
 // residentMB returns the resident memory of a process in MB, or 0 if its entry in
-// /proc can't be read.
+// /proc cannot be read.
 func residentMB(pid int) float64 {
 	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
--- a/cmd/corkcove/core_stored.go
+++ b/cmd/corkcove/core_stored.go
@@ -90,7 +90,7 @@
 	}
 	if blobMatches(stored.view, versions.ViewVersion, versions.ViewDigest) {
 		if view := decodeStoredView(stored.view); view.Epoch > 0 && view.Epoch == versions.ViewEpoch {
-			// If the view can't be marshaled, it counts as missing.
+			// If the view cannot be marshaled, it counts as missing.
 			payloads.View, _ = proto.Marshal(view.ForNodes())
 		}
 	}
@@ -98,7 +98,7 @@
 }
 
 // storedUserStates returns the states that users set, by node name. It returns an
-// empty map if none are stored, and ignores data that can't be decoded.
+// empty map if none are stored, and ignores data that cannot be decoded.
 func storedUserStates(state replication.StateMachine) map[string]string {
 	stored := &meshpb.UserStates{}
 	if blob := state.Blob(userStatesBlob); blob != nil {
--- a/cmd/corkcove/estimate.go
+++ b/cmd/corkcove/estimate.go
@@ -20,8 +20,8 @@
 	estimateDuration = 120 * time.Second
 	// estimateSeed is fixed so that equal flows give equal estimates.
 	estimateSeed = 1
-	// addedEndpoint is the placeholder for the ID and node name of an endpoint that
-	// doesn't exist yet.
+	// addedEndpoint is the placeholder for the ID and node name of an endpoint that does
+	// not exist yet.
 	addedEndpoint = "to-be-added"
 )
 
@@ -48,7 +48,7 @@
 	c.handleTool(check, func(client *coreClient) error { return runEstimateCheck(client, *file, *tolerance) })
 }
 
-// fetchOrigins fetches the flows of each node. A node that doesn't respond is
+// fetchOrigins fetches the flows of each node. A node that does not respond is
 // reported on standard error and skipped.
 func (c *coreClient) fetchOrigins(master *meshpb.StatusResponse) []loadestimate.Origin {
 	var origins []loadestimate.Origin
--- a/cmd/corkcove/main_test.go
+++ b/cmd/corkcove/main_test.go
@@ -145,7 +145,7 @@
 // loopback.
 type fakeMesh struct {
 	master *fakeControl
-	// coreAddr is the address of the member that isn't the master.
+	// coreAddr is the address of the member that is not the master.
 	coreAddr string
 	// addressNames are pairs of an address and the fixed name that replaces it in
 	// outputs.
@@ -367,7 +367,7 @@
 	}
 }
 
-// A master that has stepped down still responds, but doesn't know the nodes or the
+// A master that has stepped down still responds, but does not know the nodes or the
 // view.
 func TestStatusWithoutMasterMatchesPreviousRelease(t *testing.T) {
 	mesh := newFakeMesh(t)
--- a/cmd/corkcove/replay_run.go
+++ b/cmd/corkcove/replay_run.go
@@ -101,7 +101,7 @@
 }
 
 // checkReplayReport returns an error if the report is unreliable, because the
-// simulation doesn't reproduce the recording or the recording is incomplete, or if
+// simulation does not reproduce the recording or the recording is incomplete, or if
 // the change would harm requests.
 func checkReplayReport(report *replay.Report, bounds replay.Options) error {
 	switch {
--- a/cmd/corkcove/replay_save.go
+++ b/cmd/corkcove/replay_save.go
@@ -54,9 +54,9 @@
 	return nil
 }
 
-// runReplaySave saves the request records of the last span of all nodes to one
-// file, which appears only once it is complete. If some nodes don't respond, the
-// file lacks their records and runReplaySave returns an error.
+// runReplaySave saves the request records of the last span of all nodes to one file,
+// which appears only once it is complete. If some nodes do not respond, the file
+// lacks their records and runReplaySave returns an error.
 func runReplaySave(client *coreClient, options replaySaveOptions) error {
 	if err := options.check(); err != nil {
 		return err
@@ -83,7 +83,7 @@
 }
 
 // writeReplayFile writes a temporary file and renames it once it is complete and
-// synced. It returns the names of the nodes that didn't respond.
+// synced. It returns the names of the nodes that did not respond.
 func writeReplayFile(client *coreClient, master *meshpb.StatusResponse, options replaySaveOptions) (*recordingWriter, []string, error) {
 	file, err := os.CreateTemp(filepath.Dir(options.file), ".replay-*")
 	if err != nil {
@@ -173,7 +173,7 @@
 }
 
 // add writes a node's records, and the views and configurations that they refer to
-// and that aren't in the file yet.
+// and that are not in the file yet.
 func (r *recordingWriter) add(records *meshpb.RequestRecordsResponse) {
 	if r.err != nil {
 		return
@@ -212,8 +212,8 @@
 	}
 }
 
-// missingSnapshots requests the views and configurations of the records that
-// haven't been written yet.
+// missingSnapshots requests the views and configurations of the records that have not
+// been written yet.
 func (r *recordingWriter) missingSnapshots(records *meshpb.RequestRecordsResponse) *meshpb.SnapshotsRequest {
 	request := &meshpb.SnapshotsRequest{}
 	for _, view := range records.Views {
--- a/cmd/corkcove/sessions.go
+++ b/cmd/corkcove/sessions.go
@@ -14,8 +14,8 @@
 	c.handleTool(command, func(client *coreClient) error { return runSessions(client, *since) })
 }
 
-// runSessions prints the sessions of all nodes. It fails if a session is at more
-// than one endpoint or a node didn't respond.
+// runSessions prints the sessions of all nodes. It fails if a session is at more than
+// one endpoint or a node did not respond.
 func runSessions(client *coreClient, since string) error {
 	var sinceConfig uint64
 	if since != "" {
--- a/cmd/corkcove/sessions_report.go
+++ b/cmd/corkcove/sessions_report.go
@@ -26,7 +26,7 @@
 	Dropped  uint64       `json:"forgotten"`
 	Sessions []sessionRow `json:"sessions"`
 	Moves    []moveRow    `json:"moves"`
-	// Unreachable are the names of the nodes that didn't respond.
+	// Unreachable are the names of the nodes that did not respond.
 	Unreachable []string `json:"didNotAnswer"`
 }
 
--- a/cmd/corkcove/state.go
+++ b/cmd/corkcove/state.go
@@ -14,8 +14,8 @@
 // reach the master.
 const maxMasterHops = 8
 
-// reasonNotMaster is the reason that a core node returns if it isn't the master;
-// the caller may try another core node.
+// reasonNotMaster is the reason that a core node returns if it is not the master; the
+// caller may try another core node.
 const reasonNotMaster = "not the master"
 
 func registerState(c *commandLine) {
--- a/cmd/corkcove/status.go
+++ b/cmd/corkcove/status.go
@@ -118,7 +118,7 @@
 	b.WriteString("\n")
 }
 
-// replicaProblem returns why a replica couldn't take over the shard immediately, or
+// replicaProblem returns why a replica could not take over the shard immediately, or
 // "" if it could.
 func replicaProblem(r *meshpb.ReplicaStatus) string {
 	switch {
--- a/cmd/fakeendpoint/platform.go
+++ b/cmd/fakeendpoint/platform.go
@@ -25,7 +25,7 @@
 	// endpoints lists the endpoints, each as "service,site,address".
 	endpoints []string
 	// pageSize is the number of configured endpoints that a page covers. Endpoints that
-	// don't answer are left out, so the page may have fewer rows.
+	// do not answer are left out, so the page may have fewer rows.
 	pageSize int
 }
 
--- a/internal/affinity/sessions.go
+++ b/internal/affinity/sessions.go
@@ -57,7 +57,7 @@
 	seenAccepting bool
 	// configVersion is the version in force at cachedAt.
 	configVersion uint64
-	// cachedAt is when the session was first cached with this endpoint.
+	// cachedAt is the time at which the session was first cached with this endpoint.
 	cachedAt      time.Time
 	lastUsed      time.Time
 	lastRefreshed time.Time
--- a/internal/changetrace/ring.go
+++ b/internal/changetrace/ring.go
@@ -15,7 +15,7 @@
 
 // Event records that a process performed an action on a change.
 type Event struct {
-	// Time is when the process performed the action, by its own clock.
+	// Time is the time at which the process performed the action, by its own clock.
 	Time time.Time
 	// Action is what the process did, such as proposed or committed.
 	Action string
--- a/internal/ci/knownred_test.go
+++ b/internal/ci/knownred_test.go
@@ -217,7 +217,7 @@
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", stderr))
 	qt.Assert(t, pattern, qt.Equals, "^(TestOne|TestTwo)$")
 
-	// The listed tests fail here, so that they can't run unnoticed.
+	// The listed tests fail here, so that they cannot run unnoticed.
 	writeFile(t, directory, "go.mod", "module skipped\n")
 	writeFile(t, directory, "skipped_test.go", `package skipped
 
--- a/internal/clustercontroller/history.go
+++ b/internal/clustercontroller/history.go
@@ -32,8 +32,9 @@
 	// state is the node's last report.
 	state *meshpb.NodeState
 
-	// lastContact is when the node last reported, or later when a takeover or the end of
-	// a pause restarted the wait for its next report. It is on the clock of Options.Now.
+	// lastContact is the time at which the node last reported, or later when a takeover
+	// or the end of a pause restarted the wait for its next report. It is on the clock
+	// of Options.Now.
 	lastContact time.Duration
 	// pollFailures counts failed polls in a row.
 	pollFailures int
--- a/internal/clustercontroller/leadership.go
+++ b/internal/clustercontroller/leadership.go
@@ -17,7 +17,7 @@
 	// suspended is set while the lease on shard 0 is not held; nothing is sent then.
 	suspended bool
 	epoch     uint64
-	// since is when this member became the master.
+	// since is the time at which this member became the master.
 	since time.Duration
 	// rejoining is set while endpoints of the stored view that their nodes have not
 	// reported again keep the state that the view gave them.
--- a/internal/clustercontroller/merge.go
+++ b/internal/clustercontroller/merge.go
@@ -15,11 +15,11 @@
 	pending bool
 	// endpoints is the merged list, ordered by id.
 	endpoints []*meshpb.Endpoint
-	// changedAt is when something that nodes act on last changed: the merged endpoints
-	// or the width of a hot key. Options.SettleTime counts from it.
+	// changedAt is the time at which something that nodes act on last changed: the
+	// merged endpoints or the width of a hot key. Options.SettleTime counts from it.
 	changedAt time.Duration
 	ejections ejections
-	// ejectionsRefreshedAt is when refreshEjections last scheduled a merge.
+	// ejectionsRefreshedAt is the time at which refreshEjections last scheduled a merge.
 	ejectionsRefreshedAt time.Duration
 }
 
--- a/internal/clustercontroller/outliers.go
+++ b/internal/clustercontroller/outliers.go
@@ -91,7 +91,7 @@
 	// failurePercent is the highest failure percentage during the ejection, 0 after its
 	// end.
 	failurePercent uint32
-	// changedAt is when the ejection began, or when it ended.
+	// changedAt is the time at which the ejection began or ended.
 	changedAt time.Duration
 	// duration is how long the ejection lasts unless the endpoint recovers earlier.
 	duration time.Duration
--- a/internal/clustercontroller/progress.go
+++ b/internal/clustercontroller/progress.go
@@ -26,10 +26,11 @@
 	needsFullConfig bool
 	// sentFullConfig tells that the last attempt sent a complete configuration.
 	sentFullConfig bool
-	// retryConfigAt is when a configuration may be sent again after a failure.
+	// retryConfigAt is the time at which a configuration may be sent again after a
+	// failure.
 	retryConfigAt time.Duration
 	configSentAt  time.Duration
-	// configAckedAt is when the node last acknowledged any configuration.
+	// configAckedAt is the time at which the node last acknowledged any configuration.
 	configAckedAt time.Duration
 	// ackedIncarnation is the incarnation that did so, "" if it is unknown.
 	ackedIncarnation string
--- a/internal/clustercontroller/views.go
+++ b/internal/clustercontroller/views.go
@@ -25,7 +25,8 @@
 	// recent holds the views that were published in this master's epoch, oldest
 	// first, at most maxRecentViews.
 	recent []*meshpb.View
-	// lastAttemptAt is when a view was last published or failed to be saved.
+	// lastAttemptAt is the time at which a view was last published or failed to be
+	// saved.
 	lastAttemptAt time.Duration
 	// saving is set while a view is being committed to shard 0.
 	saving    bool
--- a/internal/coordination/cells.go
+++ b/internal/coordination/cells.go
@@ -17,8 +17,8 @@
 // event is a put in the history of a group.
 type event struct {
 	put *meshpb.Put
-	// appliedAt is when this process applied the put, or an estimate of it from the
-	// age in a restored snapshot.
+	// appliedAt is the time at which this process applied the put, or an estimate of it
+	// from the age in a restored snapshot.
 	appliedAt time.Duration
 }
 
--- a/internal/loadestimate/estimate_test.go
+++ b/internal/loadestimate/estimate_test.go
@@ -32,8 +32,8 @@
 )
 
 // fixedStepSimulation simulates a mesh in steps of 1 ms. Its distributions of
-// arrivals and service times differ from those of the package, so that the tests
-// don't compare an estimate with its own model.
+// arrivals and service times differ from those of the package, so that the tests do
+// not compare an estimate with its own model.
 type fixedStepSimulation struct {
 	random *rand.Rand
 	// stepMs is the index of the current step, and the time in milliseconds.
--- a/internal/loadestimate/simulation.go
+++ b/internal/loadestimate/simulation.go
@@ -29,8 +29,8 @@
 // event is the arrival of a request of a demand, or its completion at an
 // endpoint.
 type event struct {
-	// at is when the event occurs, arrivedAt when the request arrived. Both are in
-	// seconds from the start of the simulation.
+	// at is the time at which the event occurs, arrivedAt when the request arrived. Both
+	// are in seconds from the start of the simulation.
 	at        float64
 	arrivedAt float64
 	// demand is the index of the request's demand.
--- a/internal/logring/buffer.go
+++ b/internal/logring/buffer.go
@@ -1,7 +1,7 @@
 package logring
 
 // RingBuffer keeps the most recent items added to it. It is not safe for concurrent
-// use, and its zero value can't be used.
+// use, and its zero value cannot be used.
 type RingBuffer[T any] struct {
 	items []T
 	// oldest is the index of the oldest item once the buffer is full; it is 0 before.
--- a/internal/logring/callsites_test.go
+++ b/internal/logring/callsites_test.go
@@ -17,9 +17,9 @@
 // keyPattern is the form of a key: letters only, in lower camel case.
 var keyPattern = regexp.MustCompile(`^[a-z][a-zA-Z]*$`)
 
-// isLoggerCall reports whether a call is one of Logger.Info or Logger.Warn. It
-// goes by the name of the receiver, as types aren't resolved: a variable, field
-// or function call named Log or log, in any case.
+// isLoggerCall reports whether a call is one of Logger.Info or Logger.Warn. It goes
+// by the name of the receiver, as types are not resolved: a variable, field or
+// function call named Log or log, in any case.
 func isLoggerCall(call *ast.CallExpr) bool {
 	method, ok := call.Fun.(*ast.SelectorExpr)
 	if !ok || method.Sel.Name != "Info" && method.Sel.Name != "Warn" {
--- a/internal/logring/entry.go
+++ b/internal/logring/entry.go
@@ -27,7 +27,7 @@
 
 // Entry is one logged event.
 type Entry struct {
-	// Time is when the event was logged.
+	// Time is the time at which the event was logged.
 	Time time.Time
 	// Level is the severity.
 	Level Level
--- a/internal/meshtest/client.go
+++ b/internal/meshtest/client.go
@@ -27,11 +27,11 @@
 	Failed bool
 }
 
-// Send sends a request with an empty body to the outbound listener of a node, over
-// a new connection and with a new request ID. The deadline is only sent as a
-// header; Send doesn't enforce it. If session is empty, the session header is
-// omitted. Errors of the transport are reported by Response.Failed. Send panics if
-// method or path is invalid.
+// Send sends a request with an empty body to the outbound listener of a node, over a
+// new connection and with a new request ID. The deadline is only sent as a header;
+// Send does not enforce it. If session is empty, the session header is omitted.
+// Errors of the transport are reported by Response.Failed. Send panics if method or
+// path is invalid.
 func (m *Mesh) Send(n *Node, method, path, session string, deadline time.Duration) Response {
 	response := Response{RequestID: fmt.Sprintf("q%d", m.lastRequest.Add(1))}
 	request, err := http.NewRequest(method, "http://"+outboundAddress(n.Endpoint.ID)+path, nil)
--- a/internal/meshtest/mesh.go
+++ b/internal/meshtest/mesh.go
@@ -101,9 +101,9 @@
 	return decision.Result.Response(), nil
 }
 
-// PublishView applies a new view on all nodes. states has the states of endpoints
-// by their ID; an endpoint without an entry is up. The view doesn't contain
-// endpoints whose state is lifecycle.Gone.
+// PublishView applies a new view on all nodes. states has the states of endpoints by
+// their ID; an endpoint without an entry is up. The view does not contain endpoints
+// whose state is lifecycle.Gone.
 func (m *Mesh) PublishView(states map[string]lifecycle.State) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/meshtest/sessions_test.go
+++ b/internal/meshtest/sessions_test.go
@@ -96,7 +96,7 @@
 
 // assertExecutions checks the responses against the executions: each request ran at
 // most once, a 200 names the endpoint that ran it, a request answered with 503 did
-// not run, and executions of one session don't overlap. It returns the executions by
+// not run, and executions of one session do not overlap. It returns the executions by
 // session, in order of their start.
 func assertExecutions(t *testing.T, m *Mesh, sent []sentRequest) map[string][]Execution {
 	bySession := map[string][]Execution{}
--- a/internal/nodeagent/agent.go
+++ b/internal/nodeagent/agent.go
@@ -61,7 +61,8 @@
 	stateChanged chan struct{}
 	// newestPoll is the poll received last, or nil once it has been answered.
 	newestPoll *pendingPoll
-	// nextPollDue is when the master's next poll is due according to its latest one.
+	// nextPollDue is the time at which the next poll is due according to the master's
+	// latest one.
 	nextPollDue time.Duration
 	// masterEpoch is the highest master epoch seen so far.
 	masterEpoch uint64
--- a/internal/prototest/prototest.go
+++ b/internal/prototest/prototest.go
@@ -16,7 +16,7 @@
 const repeatedFieldLen = 2
 
 // Offsets that Fill adds to the integers that it generates. The integers of 64-bit
-// fields don't fit into 32 bits, so that a test detects a narrowed field.
+// fields do not fit into 32 bits, so that a test detects a narrowed field.
 const (
 	valueOffset32 = 1 << 20
 	valueOffset64 = 1 << 40
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -77,9 +77,9 @@
 }
 
 // sessionMayMove reports whether the request may follow its session to another
-// endpoint: the pinned one no longer accepts requests and has not run this one,
-// no part of the body that can't be resent was sent, and the limit on moves is
-// not reached.
+// endpoint: the pinned one no longer accepts requests and has not run this one, no
+// part of the body that cannot be resent was sent, and the limit on moves is not
+// reached.
 func (r *outboundRequest) sessionMayMove(reply localreply.Reply, moves int) bool {
 	if r.session.endpoint == "" || r.plan.MayHaveRun() || r.body.remaining.endAttempt() {
 		return false
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -42,7 +42,7 @@
 		}
 		return attempt
 	}
-	// The body can't be resent, so send it only once the receiver asks for it.
+	// The body cannot be resent, so send it only once the receiver asks for it.
 	headers["Expect"] = []string{"100-continue"}
 	attempt.Body = singleUseBody{&checkedBody{buffered: r.body.buffered, rest: r.body.remaining.forAttempt()}}
 	return attempt
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -109,7 +109,7 @@
 }
 
 // endToEnd are headers that are forwarded even if a Connection header lists them.
-// Without them a response can't be matched to its request and endpoint.
+// Without them a response cannot be matched to its request and endpoint.
 var endToEnd = map[string]bool{headerRequestID: true, headerSeal: true}
 
 // connectionOptions returns the canonical names of the headers that are listed in
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -107,7 +107,7 @@
 	incarnation string
 	// priority is the route's priority; lower values are served first.
 	priority int
-	// deadline is when the calling node stops waiting for the response.
+	// deadline is the time at which the calling node stops waiting for the response.
 	deadline time.Time
 	// ctx ends at the deadline, when the calling node closes its connection, or when
 	// a shutdown cancels the pending requests.
--- a/internal/proxy/loadbalancer/balancer.go
+++ b/internal/proxy/loadbalancer/balancer.go
@@ -54,8 +54,8 @@
 	return b
 }
 
-// SetLocalNode sets the name of this node. Bulk requests prefer the endpoint
-// beside it, because their bodies then don't use the machine's network link.
+// SetLocalNode sets the name of this node. Bulk requests prefer the endpoint beside
+// it, because their bodies then do not use the machine's network link.
 func (b *Balancer) SetLocalNode(node string) *Balancer {
 	b.localNode = node
 	return b
--- a/internal/proxy/loadbalancer/endpoint.go
+++ b/internal/proxy/loadbalancer/endpoint.go
@@ -39,7 +39,7 @@
 	serviceTime  atomic.Int64
 	linkPercent  atomic.Int64
 	lastReportAt atomic.Int64
-	// ejectedUntil is when an ejection after failures ends.
+	// ejectedUntil is the time at which an ejection after failures ends.
 	ejectedUntil        atomic.Int64
 	consecutiveFailures atomic.Int64
 	// draining is set once the endpoint or its node has reported that this
@@ -104,7 +104,7 @@
 	e.EjectFor(time.Duration(1<<(failures-1)) * directBackoff)
 }
 
-// ClearFailures resets the count of consecutive failures. It doesn't end an
+// ClearFailures resets the count of consecutive failures. It does not end an
 // ejection.
 func (e *Endpoint) ClearFailures() { e.consecutiveFailures.Store(0) }
 
--- a/internal/proxy/loadbalancer/hotkeys.go
+++ b/internal/proxy/loadbalancer/hotkeys.go
@@ -19,8 +19,8 @@
 	// width is the number of endpoints that the view specifies. The endpoints slice
 	// is shorter if fewer endpoints of the service are up.
 	width int
-	// widthChangedAt is when the key became hot or its width last changed, in
-	// nanoseconds of the balancer's clock. The slow start of added endpoints begins
+	// widthChangedAt is the time at which the key became hot or its width last changed,
+	// in nanoseconds of the balancer's clock. The slow start of added endpoints begins
 	// then.
 	widthChangedAt int64
 }
@@ -130,8 +130,8 @@
 	return best
 }
 
-// pickHighestRanked returns the one endpoint that serves all reads of a key that
-// is not hot, or nil if it can't serve one now.
+// pickHighestRanked returns the one endpoint that serves all reads of a key that is
+// not hot, or nil if it cannot serve one now.
 func (s *selection) pickHighestRanked() *Endpoint {
 	var highest *Endpoint
 	for _, e := range s.service.all {
--- a/internal/proxy/loadbalancer/view.go
+++ b/internal/proxy/loadbalancer/view.go
@@ -114,7 +114,7 @@
 }
 
 // Find returns the endpoint of a service with the given ID, or nil if there is no
-// such endpoint or it doesn't take requests.
+// such endpoint or it does not take requests.
 func (b *Balancer) Find(serviceName, id string) *Endpoint {
 	s := b.table.Load().services[serviceName]
 	if s == nil {
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -46,9 +46,9 @@
 	Ready func() bool
 	// Log receives the chain's log entries.
 	Log logring.Logger
-	// BufferLimit is how much of a request or response body is buffered, in
-	// bytes. A request with a longer body can't be retried once sending the part
-	// beyond the limit has started.
+	// BufferLimit is how much of a request or response body is buffered, in bytes. A
+	// request with a longer body cannot be retried once sending the part beyond the
+	// limit has started.
 	BufferLimit int
 	// DeadlineMargin is subtracted from the deadline that is passed on to an
 	// endpoint, so that its response reaches the client in time.
--- a/internal/proxy/pacer.go
+++ b/internal/proxy/pacer.go
@@ -23,17 +23,17 @@
 	stallMargin = 150 * time.Millisecond
 )
 
-// Pacer schedules the writes of response bodies on a machine's network link, so
-// that small responses don't queue behind large ones. Large bodies are written one
-// after the other, in chunks and slightly below the link's rate. Shorter ones go
-// first, but the priority of a body rises while it waits. Pacer is safe for
-// concurrent use; a nil Pacer writes everything immediately.
+// Pacer schedules the writes of response bodies on a machine's network link, so that
+// small responses do not queue behind large ones. Large bodies are written one after
+// the other, in chunks and slightly below the link's rate. Shorter ones go first, but
+// the priority of a body rises while it waits. Pacer is safe for concurrent use; a
+// nil Pacer writes everything immediately.
 type Pacer struct {
 	bytesPerSecond float64
 	started        time.Time
 
 	mu sync.Mutex
-	// idleAt is when the link will have carried all reserved bytes.
+	// idleAt is the time at which the link will have carried all reserved bytes.
 	idleAt time.Time
 	// busy is set while a large body holds the link.
 	busy bool
--- a/internal/proxy/response.go
+++ b/internal/proxy/response.go
@@ -84,7 +84,7 @@
 }
 
 // writeResponseBody writes the prefix and then the rest of the body, unless the prefix
-// is complete. If the body can't be read or written to its end, writeResponseBody
+// is complete. If the body cannot be read or written to its end, writeResponseBody
 // panics with http.ErrAbortHandler, which closes the client's connection: the client
 // must not take the truncated body for a complete one.
 func writeResponseBody(w http.ResponseWriter, response *http.Response, prefix []byte, complete bool, pacer *Pacer, deadline time.Time) {
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -73,7 +73,7 @@
 	*testMesh
 	// sent counts the requests sent, for their IDs.
 	sent atomic.Int64
-	// started is when the SIGTERM came.
+	// started is the time at which the SIGTERM came.
 	started time.Time
 	// signalDelay is how long the process does not notice the SIGTERM.
 	signalDelay time.Duration
--- a/internal/replay/endpoint_model.go
+++ b/internal/replay/endpoint_model.go
@@ -46,8 +46,8 @@
 // recordedOutcome is the outcome of a recorded attempt at an endpoint, or a success
 // that sampleOutcome assumes for an attempt that is not in the recording.
 type recordedOutcome struct {
-	// timeUs is when the recorded attempt started, in Unix microseconds, also if
-	// sampleOutcome reuses a recorded failure. It is 0 for an assumed success.
+	// timeUs is the time at which the recorded attempt started, in Unix microseconds,
+	// also if sampleOutcome reuses a recorded failure. It is 0 for an assumed success.
 	timeUs  int64
 	outcome retry.Outcome
 	// code is the HTTP status, 0 unless the endpoint answered.
--- a/internal/replay/simulation.go
+++ b/internal/replay/simulation.go
@@ -44,7 +44,7 @@
 	eventQueue
 	recording *meshpb.ReplayFile
 	scenario  Scenario
-	// startUs is when the first request began, in Unix microseconds.
+	// startUs is the time at which the first request began, in Unix microseconds.
 	startUs int64
 	model   *trafficModel
 	nodes   []*simulatedNode
--- a/internal/replication/commit.go
+++ b/internal/replication/commit.go
@@ -6,14 +6,14 @@
 	"corkcove/internal/rpc/meshpb"
 )
 
-// pendingCall is a call of Execute whose outcome isn't known yet.
+// pendingCall is a call of Execute whose outcome is not known yet.
 type pendingCall struct {
 	// version must be committed under epoch for the call to succeed.
 	version uint64
 	epoch   uint64
 	// changed is true if the call appended an entry.
 	changed bool
-	// deadline is when the call fails, in the time of Options.Now.
+	// deadline is the time at which the call fails, in the time of Options.Now.
 	deadline time.Duration
 	callback func(error)
 }
@@ -36,8 +36,8 @@
 // that function read and changed is committed; a call without a change also needs the
 // lease to be valid at that time. Otherwise it gets ErrNotOwner or ErrUnavailable, which
 // promise that nothing was done, ErrInvalidChange, which promises the same but for any
-// member, or ErrOutcomeUnknown. A call that isn't decided within
-// RequestTimeout fails at the next tick.
+// member, or ErrOutcomeUnknown. A call that is not decided within RequestTimeout fails
+// at the next tick.
 func (r *Replica) Execute(shard int, function func(content StateMachine, now time.Duration) *meshpb.Change, callback func(error)) {
 	s := r.shards[shard]
 	now := r.now()
--- a/internal/replication/election.go
+++ b/internal/replication/election.go
@@ -145,7 +145,7 @@
 	}
 }
 
-// retryVoteRequests repeats the requests to the members that haven't voted. In a
+// retryVoteRequests repeats the requests to the members that have not voted. In a
 // transfer, a member that receives the request before the TransferOwnership call
 // refuses its vote, because the lease of the previous owner is still in force there.
 func (r *Replica) retryVoteRequests() {
--- a/internal/replication/election_test.go
+++ b/internal/replication/election_test.go
@@ -54,8 +54,8 @@
 }
 
 // TestReconnectedMemberDoesNotDisruptOwners checks that a member that returns from a
-// partition unseats no owner. While partitioned it wins no pre-vote, so it doesn't vote
-// for itself in a higher epoch; afterwards the leases that the other members have
+// partition unseats no owner. While partitioned it wins no pre-vote, so it does not
+// vote for itself in a higher epoch; afterwards the leases that the other members have
 // granted make them refuse its pre-vote.
 func TestReconnectedMemberDoesNotDisruptOwners(t *testing.T) {
 	for seed := int64(1); seed <= 20; seed++ {
@@ -77,8 +77,8 @@
 }
 
 // TestOwnerReceivingNothingIsReplacedWithinTwoLeases checks that the heartbeats of an
-// owner that receives nothing don't renew its leases: they would keep its shards from
-// all other members, although it can't serve them.
+// owner that receives nothing do not renew its leases: they would keep its shards
+// from all other members, although it cannot serve them.
 func TestOwnerReceivingNothingIsReplacedWithinTwoLeases(t *testing.T) {
 	for seed := int64(1); seed <= 20; seed++ {
 		cluster := newSimCluster(t, seed, 5)
--- a/internal/replication/follower.go
+++ b/internal/replication/follower.go
@@ -41,9 +41,9 @@
 
 // HandleReplicate processes the states, epoch changes and entries that an owner sends.
 // reply is called once everything that the response acknowledges is synced, or with nil
-// if a write failed. A request that isn't admitted has no effect, and its response holds
-// no acknowledgements. A learner processes requests as a member does, but what it
-// acknowledges doesn't count towards a majority.
+// if a write failed. A request that is not admitted has no effect, and its response
+// holds no acknowledgements. A learner processes requests as a member does, but what it
+// acknowledges does not count towards a majority.
 func (r *Replica) HandleReplicate(request *meshpb.ReplicateRequest, reply func(*meshpb.ReplicateResponse)) {
 	header := request.Header
 	response := &meshpb.ReplicateResponse{Membership: r.membership.Version, Member: (r.isMember() || !r.leaving) && header.To == r.self.Id}
@@ -139,7 +139,7 @@
 }
 
 // adoptEpoch votes for the sender if epoch is above that of the last vote, as if the
-// sender had requested the vote. The write of the vote isn't awaited: the caller
+// sender had requested the vote. The write of the vote is not awaited: the caller
 // writes a state or an epoch change next, and Storage completes writes in order.
 func (in *incomingReplication) adoptEpoch(s *shard, epoch uint64) {
 	if epoch <= s.vote.epoch {
@@ -150,14 +150,14 @@
 	in.replica.persistVote(s, func(error) {})
 }
 
-// reportGap makes ack tell the owner the actual position of the replica, which isn't
+// reportGap makes ack tell the owner the actual position of the replica, which is not
 // the one that the owner assumed.
 func reportGap(s *shard, ack *meshpb.ReplicateAck) {
 	ack.Gap, ack.HaveEpoch, ack.HaveVersion = true, s.log.epoch, s.log.version
 }
 
 // installState replaces the replica's content with a full state. It acknowledges but
-// doesn't install a state that the replica already contains.
+// does not install a state that the replica already contains.
 func (in *incomingReplication) installState(state *meshpb.ShardState) {
 	s := in.replica.shards[state.Shard]
 	ack := in.addAck(state.Shard, state.Epoch, state.Version)
--- a/internal/replication/handler.go
+++ b/internal/replication/handler.go
@@ -27,7 +27,7 @@
 	return response, nil
 }
 
-// filterKnownShards removes the messages for shards that don't exist here. It reuses
+// filterKnownShards removes the messages for shards that do not exist here. It reuses
 // the slice.
 func filterKnownShards[T interface{ GetShard() uint32 }](h Handler, messages []T) []T {
 	known := messages[:0]
--- a/internal/replication/heartbeat.go
+++ b/internal/replication/heartbeat.go
@@ -9,7 +9,7 @@
 // sendHeartbeats asks the peers to renew the leases of the shards that this member
 // serves. It skips members whose leases replication has just renewed, unless a
 // heartbeat was requested explicitly, and peers with a heartbeat in flight. Answers
-// of learners don't count toward a lease.
+// of learners do not count toward a lease.
 func (r *Replica) sendHeartbeats() {
 	watermarks := r.watermarks()
 	requested := r.heartbeatDue
--- a/internal/replication/learner.go
+++ b/internal/replication/learner.go
@@ -9,7 +9,7 @@
 
 // joinState is the state of a learner that asks to join the membership.
 type joinState struct {
-	// nextRequest is when the next join requests are due.
+	// nextRequest is the time at which the next join requests are due.
 	nextRequest time.Duration
 	// extraSeeds are members to ask in addition to the membership and the seeds.
 	extraSeeds []*meshpb.Member
@@ -72,7 +72,7 @@
 
 // HandleJoin registers a learner: this member replicates the shards that it owns to
 // the learner, and may add it to the membership if it owns the master shard. A
-// process that is leaving isn't registered. The response of the master shard's owner
+// process that is leaving is not registered. The response of the master shard's owner
 // says whether a majority of the membership holds all shards, which tells a process
 // that is leaving that it is no longer needed.
 func (r *Replica) HandleJoin(request *meshpb.JoinRequest) *meshpb.JoinResponse {
@@ -93,7 +93,7 @@
 	return response
 }
 
-// expireLearners drops learners that haven't sent a join request for learnerTimeout.
+// expireLearners drops learners that have not sent a join request for learnerTimeout.
 func (r *Replica) expireLearners() {
 	now := r.now()
 	r.learners = slices.DeleteFunc(r.learners, func(p *peer) bool { return now-p.learner.lastJoin > learnerTimeout })
--- a/internal/replication/log.go
+++ b/internal/replication/log.go
@@ -43,7 +43,7 @@
 }
 
 // trim drops the oldest entries until the log is at most half of both limits, so that
-// appending an entry doesn't trim the log every time.
+// appending an entry does not trim the log every time.
 func (l *replicaLog) trim() {
 	for i := range l.entries {
 		if len(l.entries)-i <= maxLogEntries/2 && l.entryBytes <= maxLogBytes/2 {
@@ -78,12 +78,12 @@
 func (l *replicaLog) lastEpochEnd() position { return l.epochEnds[len(l.epochEnds)-1] }
 
 // entriesAfter returns the entries that take a replica at from to this log's position.
-// ok is false if from isn't known to be part of this log's history, or if the log no
+// ok is false if from is not known to be part of this log's history, or if the log no
 // longer holds all of these entries.
 //
 // All replicas of one epoch share one history. So a replica at the current epoch, or at
-// an earlier epoch in epochEnds, holds a prefix of this log's history if its version
-// isn't beyond the point that this log reached in that epoch.
+// an earlier epoch in epochEnds, holds a prefix of this log's history if its version is
+// not beyond the point that this log reached in that epoch.
 func (l *replicaLog) entriesAfter(from position) (entries []*meshpb.Entry, ok bool) {
 	known := from.epoch == l.epoch && from.version <= l.version
 	for _, end := range l.epochEnds {
--- a/internal/replication/membership.go
+++ b/internal/replication/membership.go
@@ -22,8 +22,8 @@
 // each new membership as a change of the shard; the new membership is in force once
 // a majority of the previous one and a majority of the new one have it on disk.
 type membershipChange struct {
-	// previous is the membership before the current one. It is nil if this member
-	// hasn't tracked acceptance since it became owner of the master shard.
+	// previous is the membership before the current one. It is nil if this member has
+	// not tracked acceptance since it became owner of the master shard.
 	previous *meshpb.Membership
 	// accepted holds the ids of the members of both memberships that have the
 	// current one on disk. It is nil whenever previous is.
@@ -207,7 +207,7 @@
 	case blob != nil && blob.Version > r.membership.Version:
 		r.adoptCommittedMembership(blob)
 	case change.previous == nil && change.accepted == nil && r.membership.Version > 1:
-		// A new owner doesn't know who accepted the membership of its predecessor.
+		// A new owner does not know who accepted the membership of its predecessor.
 		r.reconfirmMembership()
 	case !r.membershipAccepted():
 		r.broadcastMembership()
@@ -245,7 +245,7 @@
 }
 
 // broadcastMembership sends the current membership to all members of it and of the
-// previous one that haven't accepted it yet.
+// previous one that have not accepted it yet.
 func (r *Replica) broadcastMembership() {
 	sent := map[string]bool{r.self.Id: true}
 	for _, membership := range []*meshpb.Membership{r.membershipChange.previous, r.membership} {
--- a/internal/replication/membership_test.go
+++ b/internal/replication/membership_test.go
@@ -11,7 +11,7 @@
 )
 
 // TestLearnerReplacesLostMember guards against a core that stops serving because a
-// learner that took the place of a killed member doesn't count towards the majority
+// learner that took the place of a killed member does not count towards the majority
 // when the next member is lost.
 func TestLearnerReplacesLostMember(t *testing.T) {
 	for seed := int64(1); seed <= 10; seed++ {
@@ -120,7 +120,7 @@
 }
 
 // TestLeavingMemberStaysUntilSuccessorJoined guards against a member that exits
-// before its successor counts towards the majority: the core then can't serve if
+// before its successor counts towards the majority: the core then cannot serve if
 // another member is lost right after the exit.
 func TestLeavingMemberStaysUntilSuccessorJoined(t *testing.T) {
 	for seed := int64(1); seed <= 12; seed++ {
--- a/internal/replication/peer.go
+++ b/internal/replication/peer.go
@@ -16,8 +16,8 @@
 	// one at lastContact.
 	contacted   bool
 	lastContact time.Duration
-	// healthy and leaving are what the peer last reported. healthySince is when its
-	// current uninterrupted run of healthy reports began.
+	// healthy and leaving are what the peer last reported. healthySince is the time at
+	// which its current uninterrupted run of healthy reports began.
 	healthy      bool
 	healthySince time.Duration
 	leaving      bool
@@ -54,14 +54,14 @@
 // learnerState is the content of a learner's last join request.
 type learnerState struct {
 	lastJoin time.Duration
-	// caughtUpTo is the version of the membership under which the learner reported to
-	// be caught up, 0 if it isn't.
+	// caughtUpTo is the version of the membership under which the learner reported to be
+	// caught up, 0 if it is not.
 	caughtUpTo uint64
 	// bootstrap means that the learner takes part in the first start of the core.
 	bootstrap bool
 }
 
-// newPeer returns a peer without any progress or leases. Its member isn't set.
+// newPeer returns a peer without any progress or leases. Its member is not set.
 func (r *Replica) newPeer() *peer {
 	p := &peer{progress: make([]progress, len(r.shards))}
 	for i := range p.progress {
@@ -180,8 +180,8 @@
 )
 
 // minimumPreferredPeers is the minimum number of peers that receive entries
-// immediately, even if a majority needs fewer, so that the loss of one of them
-// doesn't delay commits.
+// immediately, even if a majority needs fewer, so that the loss of one of them does
+// not delay commits.
 const minimumPreferredPeers = 2
 
 // rankPeers selects the peers that receive entries immediately: as many as a majority
--- a/internal/replication/replica.go
+++ b/internal/replication/replica.go
@@ -33,7 +33,7 @@
 	bootstrap bool
 	// leaving is set once the process is about to end.
 	leaving bool
-	// startedAt is when the process started, or last became a member.
+	// startedAt is the time at which the process started, or last became a member.
 	startedAt time.Duration
 
 	shards []*shard
@@ -54,11 +54,12 @@
 
 	// wonPreVotes are the shards whose pre-vote this member has just won.
 	wonPreVotes []*shard
-	// lastHeartbeat is when heartbeats were last sent. heartbeatDue requests more at
-	// the next tick.
+	// lastHeartbeat is the time at which heartbeats were last sent. heartbeatDue
+	// requests more at the next tick.
 	lastHeartbeat time.Duration
 	heartbeatDue  bool
-	// lastWithoutQuorum is when this member last could not reach a majority.
+	// lastWithoutQuorum is the time at which this member last could not reach a
+	// majority.
 	lastWithoutQuorum time.Duration
 
 	published published
@@ -66,8 +67,8 @@
 
 // published is the state that other goroutines may read.
 type published struct {
-	// masterLeaseUntil is when this member's lease of the master shard ends, in
-	// nanoseconds of Options.Now.
+	// masterLeaseUntil is the time at which this member's lease of the master shard
+	// ends, in nanoseconds of Options.Now.
 	masterLeaseUntil atomic.Int64
 	// masterEpoch is the epoch at which this member last served the master shard.
 	masterEpoch atomic.Uint64
@@ -77,7 +78,7 @@
 }
 
 // New returns a replica restored from the records that storage held, oldest first. It
-// fails if a record can't be decoded. It calls storage.Checkpoint, before which
+// fails if a record cannot be decoded. It calls storage.Checkpoint, before which
 // nothing may be appended to storage.
 func New(options Options, transport Transport, storage Storage, records [][]byte) (*Replica, error) {
 	r := &Replica{
--- a/internal/replication/replicate.go
+++ b/internal/replication/replicate.go
@@ -171,9 +171,9 @@
 	p.reported, p.reportedInEpoch = have, s.log.epoch
 }
 
-// handleReplicateAck processes the peer's acknowledgement for one shard. sentAt is when
-// the request was sent; the lease that the peer granted counts from then. more reports
-// whether to replicate again immediately.
+// handleReplicateAck processes the peer's acknowledgement for one shard. sentAt is the
+// time at which the request was sent; the lease that the peer granted counts from then.
+// more reports whether to replicate again immediately.
 func (r *Replica) handleReplicateAck(p *peer, ack *meshpb.ReplicateAck, sentAt time.Duration) (more bool) {
 	s := r.shards[ack.Shard]
 	if ack.Promised >= s.vote.epoch && ack.Promised > 0 && s.isOwned() {
--- a/internal/replication/scenario_run_test.go
+++ b/internal/replication/scenario_run_test.go
@@ -17,14 +17,14 @@
 	// addedNodes is the number of successors added so far.
 	addedNodes          int
 	unfinishedSequences int
-	// lastEventAt is when a fault last started or ended, or a node was last added or
-	// removed.
+	// lastEventAt is the time at which a fault last started or ended, or a node was last
+	// added or removed.
 	lastEventAt time.Duration
 	// killAllsInProgress is the number of kills of all processes within the last
 	// second.
 	killAllsInProgress int
-	// allCaughtUpAt is when the nodes count as caught up after the last kill of all
-	// processes.
+	// allCaughtUpAt is the time at which the nodes count as caught up after the last
+	// kill of all processes.
 	allCaughtUpAt time.Duration
 	// ownerlessSince is, for each shard, since when it has had no owner although no fault
 	// explains that. It is 0 if the shard has an owner.
--- a/internal/replication/scenario_test.go
+++ b/internal/replication/scenario_test.go
@@ -152,7 +152,7 @@
 }
 
 // survivableBySingleMember returns the steps without the faults that a cluster of one
-// member can't survive: the possible loss of its only disk, and replacement.
+// member cannot survive: the possible loss of its only disk, and replacement.
 func survivableBySingleMember(steps []faultStep) []faultStep {
 	var survivable []faultStep
 	for _, step := range steps {
@@ -193,7 +193,7 @@
 	}
 }
 
-// TestScenarioIsDeterministic guards against simulations that can't be reproduced from
+// TestScenarioIsDeterministic guards against simulations that cannot be reproduced from
 // their seed, because something depends on the real clock or on the iteration order of a
 // map: two runs of one scenario must log the same lines.
 func TestScenarioIsDeterministic(t *testing.T) {
--- a/internal/replication/shard.go
+++ b/internal/replication/shard.go
@@ -37,8 +37,8 @@
 	log replicaLog
 
 	role role
-	// roleSince is when the role began. For a candidate it is when the current
-	// pre-vote or election began, for an owner also when a transfer last failed.
+	// roleSince is the time at which the role began. For a candidate it is when the
+	// current pre-vote or election began, for an owner also when a transfer last failed.
 	roleSince time.Duration
 
 	vote      vote
@@ -96,9 +96,9 @@
 // when this member wins an election. When the owner steps down, only serving and
 // the lease are cleared.
 type ownership struct {
-	// startedAt is when the election was won.
+	// startedAt is the time at which the election was won.
 	startedAt time.Duration
-	// leaseUntil is when the leases of a majority end.
+	// leaseUntil is the time at which the leases of a majority end.
 	leaseUntil time.Duration
 	// serving is set once a majority holds the content at the start of the epoch.
 	serving bool
@@ -110,8 +110,8 @@
 	minimumCommit uint64
 	// commit is the version up to which all entries are committed.
 	commit uint64
-	// uncommittedSince is when an entry was last proposed while all earlier ones were
-	// committed.
+	// uncommittedSince is the time at which an entry was last proposed while all earlier
+	// ones were committed.
 	uncommittedSince time.Duration
 	// replicatedMembership is the version of the membership whose majority holds
 	// minimumCommit, 0 while no majority is known to.
@@ -126,8 +126,8 @@
 type catchUpState struct {
 	// watermark is the version that the owner last reported as committed.
 	watermark uint64
-	// caughtUpAt is when this replica was last found to have synced the watermark of
-	// the previous heartbeat.
+	// caughtUpAt is the time at which this replica was last found to have synced the
+	// watermark of the previous heartbeat.
 	caughtUpAt time.Duration
 }
 
--- a/internal/replication/stored_test.go
+++ b/internal/replication/stored_test.go
@@ -74,8 +74,8 @@
 }
 
 // TestWrittenLogsMatchPreviousRelease guards against a release whose logs the previous
-// one can't read. It requires the present code to write the same bytes as
-// the directories hold.
+// one cannot read. It requires the present code to write the same bytes as the
+// directories hold.
 func TestWrittenLogsMatchPreviousRelease(t *testing.T) {
 	for _, f := range fixtures {
 		t.Run(f.name, func(t *testing.T) {
@@ -196,7 +196,7 @@
 }
 
 // readRecords returns the records of a fixture. It reads a copy of the directory, so
-// that the original can't be modified.
+// that the original cannot be modified.
 func readRecords(t *testing.T, name string) [][]byte {
 	t.Helper()
 	dir := t.TempDir()
--- a/internal/replication/transfer.go
+++ b/internal/replication/transfer.go
@@ -27,8 +27,8 @@
 	return r.isMember() && len(r.learners) == 0 && len(r.membership.Members) <= int(r.membership.Size)
 }
 
-// maybeTransfer begins a transfer if this member can't remain the shard's owner, or if
-// another member is the preferred owner.
+// maybeTransfer begins a transfer if this member cannot remain the shard's owner, or
+// if another member is the preferred owner.
 func (r *Replica) maybeTransfer(s *shard) {
 	if !s.ownership.serving {
 		return
@@ -45,8 +45,9 @@
 }
 
 // mustTransfer reports whether this member must give up the shard: it is leaving, its
-// disk failed, or its disk is stalled. A stalled disk doesn't count until the ownership
-// is older than minimumStalledOwnership, because a new owner writes a lot at first.
+// disk failed, or its disk is stalled. A stalled disk does not count until the
+// ownership is older than minimumStalledOwnership, because a new owner writes a lot at
+// first.
 func (r *Replica) mustTransfer(s *shard) bool {
 	stalled := r.diskStalled() && r.now()-s.ownership.startedAt > r.options.minimumStalledOwnership()
 	return r.leaving || r.disk.failed || stalled
--- a/internal/replication/transfer_test.go
+++ b/internal/replication/transfer_test.go
@@ -58,7 +58,7 @@
 }
 
 // TestStarvedOwnerKeepsItsShards checks that an owner which gets too little processor
-// time doesn't mistake its late writes for a stalled disk and transfer its shards.
+// time does not mistake its late writes for a stalled disk and transfer its shards.
 // Their load would starve the next owner, and then the one after it.
 func TestStarvedOwnerKeepsItsShards(t *testing.T) {
 	cluster := newSimCluster(t, 6, 5)
--- a/internal/requestlog/recorder.go
+++ b/internal/requestlog/recorder.go
@@ -28,7 +28,7 @@
 	retention time.Duration
 
 	mu sync.Mutex
-	// startedAt is when the recorder was created.
+	// startedAt is the time at which the recorder was created.
 	startedAt int64
 	// ring holds the records. Record n is at index n modulo the size of the ring;
 	// added counts all records since the start.
--- a/internal/wal/directory.go
+++ b/internal/wal/directory.go
@@ -11,7 +11,7 @@
 	io.Writer
 	// Sync returns once all written data is on stable storage.
 	Sync() error
-	// Close closes the file. It doesn't sync it.
+	// Close closes the file. It does not sync it.
 	Close() error
 }
 
@@ -35,8 +35,8 @@
 // osDirectory is the path of a directory in the operating system's file system.
 type osDirectory string
 
-// OpenDirectory returns the directory at path, creating it and its parents if they
-// don't exist.
+// OpenDirectory returns the directory at path, creating it and its parents if they do
+// not exist.
 func OpenDirectory(path string) (Directory, error) {
 	if err := os.MkdirAll(path, 0o755); err != nil {
 		return nil, Error.Wrap(err)
--- a/internal/wal/generation.go
+++ b/internal/wal/generation.go
@@ -138,7 +138,7 @@
 }
 
 // removeOldGenerations removes the files that the newest snapshot replaces. Files that
-// can't be removed, or that reappear after a power loss, are removed when the next
+// cannot be removed, or that reappear after a power loss, are removed when the next
 // generation begins.
 func (l *Log) removeOldGenerations() {
 	names, err := l.directory.List()
@@ -154,6 +154,6 @@
 	}
 }
 
-// tryRemove removes a file that recovery doesn't need. Errors are ignored because
+// tryRemove removes a file that recovery does not need. Errors are ignored because
 // removal is tried again when the next generation begins.
 func (l *Log) tryRemove(name string) { _ = l.directory.Remove(name) }
