listeners: the settings' descriptor limit comes before the system's

Cause: the smaller of the two limits was taken. Change: the settings' limit, and the system's only where the settings have none. Test: TestDescriptorLimitOfTheSettingsTakesPrecedence; on the code before it gets the system's limit.

--- a/cmd/corkcove/listeners.go
+++ b/cmd/corkcove/listeners.go
@@ -48,21 +48,21 @@
 // maxIdleUpstream returns how many idle upstream connections the process may keep.
 func (p *process) maxIdleUpstream() int { return p.maxDescriptors() / 8 }
 
-// maxDescriptors returns how many file descriptors the process may have open, according to
-// the settings and the limit of the operating system.
+// maxDescriptors returns the maximum number of open file descriptors of the process: that
+// in the settings or, if they have none, the limit of the operating system. The settings
+// take precedence because the platform may count sockets by other rules than the system.
 func (p *process) maxDescriptors() int {
-	count := int64(fallbackMaxDescriptors)
-	var limit unix.Rlimit
-	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) == nil {
-		count = int64(min(limit.Cur, math.MaxInt32))
-	}
 	if configured := p.options.Self.Limits.MaxFileDescriptors; configured > 0 {
-		count = min(count, configured)
+		return int(min(configured, math.MaxInt32))
+	}
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return fallbackMaxDescriptors
 	}
-	return int(count)
+	return int(min(limit.Cur, math.MaxInt32))
 }
 
-// fallbackMaxDescriptors is assumed if neither the settings nor the system tell a limit.
+// fallbackMaxDescriptors is assumed if neither the settings nor the system have a limit.
 const fallbackMaxDescriptors = 1024
 
 // serve starts serving the listener in the background. Serving ends only with the
--- a/cmd/corkcove/listeners_test.go
+++ b/cmd/corkcove/listeners_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math"
 	"net"
 	"net/http"
 	"syscall"
@@ -9,6 +10,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"corkcove/internal/logring"
 	"corkcove/internal/memnet"
@@ -55,3 +57,15 @@
 		}
 	}
 }
+
+// Guards against a budget for clients that follows the limit of the operating system where
+// the settings allow more: clients lost their idle connections for no reason.
+func TestDescriptorLimitOfTheSettingsTakesPrecedence(t *testing.T) {
+	p := &process{}
+	var system unix.Rlimit
+	qt.Assert(t, unix.Getrlimit(unix.RLIMIT_NOFILE, &system), qt.IsNil)
+	qt.Assert(t, p.maxDescriptors(), qt.Equals, int(min(system.Cur, math.MaxInt32)))
+	configured := p.maxDescriptors() + 1
+	p.options.Self.Limits.MaxFileDescriptors = int64(configured)
+	qt.Assert(t, p.maxDescriptors(), qt.Equals, configured)
+}
