--- a/internal/listen/retrying.go
+++ b/internal/listen/retrying.go
@@ -85,6 +85,6 @@
 	if l.firstError.IsZero() {
 		return
 	}
-	l.log.Info("accepts connections again", "address", l.Addr(), "after", l.lastError.Sub(l.firstError))
+	l.log.Info("accepts connections again", "address", l.Addr(), "duration", l.lastError.Sub(l.firstError))
 	l.firstError, l.lastError = time.Time{}, time.Time{}
 }
