--- /dev/null
+++ b/review/rig2/endpoint.go
@@ -0,0 +1,138 @@
+package rig2
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Visit is what an endpoint saw of a request.
+type Visit struct {
+	// Reached is the time at which the request's head arrived.
+	Reached time.Time
+	// Ran is the time at which the endpoint began to work on it, after its whole body had
+	// arrived; zero if it did not.
+	Ran time.Time
+	// Ended is the time at which the work ended, and Answered is set if an answer was sent.
+	// Without it the connection was closed before.
+	Ended    time.Time
+	Answered bool
+}
+
+// Endpoint is a sound endpoint: it works on Slots requests at once, queues a few more,
+// turns away requests for other instances, and drops a request when its connection closes.
+type Endpoint struct {
+	// ID is the endpoint's id, Service the service that it belongs to.
+	ID, Service string
+	// Slots is the number of requests that it works on at once, Work the time for each.
+	Slots int
+	Work  time.Duration
+
+	slots chan struct{}
+
+	mu     sync.Mutex
+	visits map[string]*Visit
+}
+
+// StartEndpoint starts an endpoint on a sidecar machine.
+func (r *Rig) StartEndpoint(machine int, e *Endpoint) {
+	e.slots = make(chan struct{}, e.Slots)
+	e.visits = map[string]*Visit{}
+	server := &http.Server{Addr: r.AppAddr(machine), Handler: e, IdleTimeout: 10 * time.Second}
+	go func() {
+		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			r.Logf("endpoint %s ends: %v", e.ID, err)
+		}
+	}()
+	go r.sendBeats(machine, e)
+}
+
+// sendBeats sends a beat each 1.5 s.
+func (r *Rig) sendBeats(machine int, e *Endpoint) {
+	client := &http.Client{Timeout: time.Second}
+	for sequence := 1; ; sequence++ {
+		body, err := json.Marshal(map[string]any{
+			"serviceName": e.Service, "address": r.AppAddr(machine), "siteName": site(machine), "stamp": "v1",
+			"slotCount": e.Slots, "state": "ready", "coldLeftS": 0, "callSeq": sequence,
+		})
+		if err != nil {
+			return
+		}
+		request, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/-/endpoints/%s", r.BeatAddr(machine), e.ID), bytes.NewReader(body))
+		if err != nil {
+			return
+		}
+		request.Header.Set("Content-Type", "application/json")
+		if response, err := client.Do(request); err == nil {
+			_ = response.Body.Close()
+		}
+		time.Sleep(1500 * time.Millisecond)
+	}
+}
+
+// Visits returns copies of what the endpoint saw, by request id.
+func (e *Endpoint) Visits() map[string]Visit {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	visits := map[string]Visit{}
+	for id, v := range e.visits {
+		visits[id] = *v
+	}
+	return visits
+}
+
+func (e *Endpoint) update(v *Visit, change func(*Visit)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(v)
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Instance-Id", e.ID)
+	if r.URL.Path == "/health" {
+		return
+	}
+	w.Header().Set("X-Request-Id", id)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != e.ID {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	v := &Visit{Reached: time.Now()}
+	e.mu.Lock()
+	e.visits[id] = v
+	e.mu.Unlock()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	e.work(w, r, v)
+}
+
+// work waits for a slot, works on the request and answers it.
+func (e *Endpoint) work(w http.ResponseWriter, r *http.Request, v *Visit) {
+	select {
+	case e.slots <- struct{}{}:
+		defer func() { <-e.slots }()
+	case <-r.Context().Done():
+		return
+	}
+	e.update(v, func(v *Visit) { v.Ran = time.Now() })
+	timer := time.NewTimer(e.Work)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+		e.update(v, func(v *Visit) { v.Ended = time.Now() })
+		return
+	}
+	e.update(v, func(v *Visit) { v.Ended, v.Answered = time.Now(), true })
+	w.Header().Set("X-Server-Seal", e.ID+".seal")
+	_, _ = fmt.Fprintf(w, "done by %s\n", e.ID)
+}
