--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -22,6 +22,8 @@
 	// Without it the connection was closed before.
 	Ended    time.Time
 	Answered bool
+	// Broken is the time at which reading the body failed; zero if it did not.
+	Broken time.Time
 }
 
 // Endpoint is a sound endpoint: it works on Slots requests at once, queues a few more,
@@ -32,6 +34,8 @@
 	// Slots is the number of requests that it works on at once, Work the time for each.
 	Slots int
 	Work  time.Duration
+	// Pause is how long it pauses in reading a body, behind the first 32 KB.
+	Pause time.Duration
 
 	slots chan struct{}
 
@@ -109,12 +113,25 @@
 	e.mu.Lock()
 	e.visits[id] = v
 	e.mu.Unlock()
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	if !e.readBody(r) {
+		e.update(v, func(v *Visit) { v.Broken = time.Now() })
 		return
 	}
 	e.work(w, r, v)
 }
 
+// readBody reads the body of a request, with a pause if there is one.
+func (e *Endpoint) readBody(r *http.Request) bool {
+	if e.Pause > 0 {
+		if _, err := io.CopyN(io.Discard, r.Body, 32<<10); err != nil {
+			return errors.Is(err, io.EOF)
+		}
+		time.Sleep(e.Pause)
+	}
+	_, err := io.Copy(io.Discard, r.Body)
+	return err == nil
+}
+
 // work waits for a slot, works on the request and answers it.
 func (e *Endpoint) work(w http.ResponseWriter, r *http.Request, v *Visit) {
 	select {
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -280,3 +280,12 @@
 	_ = response.Body.Close()
 	return response.StatusCode == http.StatusOK
 }
+
+// Signal sends a signal to the process of a machine, such as sidecar-1.
+func (r *Rig) Signal(name string, signal syscall.Signal) error {
+	r.mu.Lock()
+	process := r.processes[name]
+	r.mu.Unlock()
+	r.Logf("%v to %s", signal, name)
+	return process.Process.Signal(signal)
+}
