--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # file for the project's own programs, and no network.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o target/review-2/ ./review/4 ./review/5
+go build -o target/review-2/ ./review/4 ./review/5 ./review/6
--- a/review/rig2/endpoint.go
+++ b/review/rig2/endpoint.go
@@ -37,46 +37,100 @@
 	// Pause is how long it pauses in reading a body, behind the first 32 KB.
 	Pause time.Duration
 
-	slots chan struct{}
+	slots  chan struct{}
+	server *http.Server
 
 	mu     sync.Mutex
 	visits map[string]*Visit
+	// sequence is the callSeq of the last beat, leaving is set once the endpoint signs off.
+	sequence int
+	leaving  bool
 }
 
 // StartEndpoint starts an endpoint on a sidecar machine.
 func (r *Rig) StartEndpoint(machine int, e *Endpoint) {
 	e.slots = make(chan struct{}, e.Slots)
 	e.visits = map[string]*Visit{}
-	server := &http.Server{Addr: r.AppAddr(machine), Handler: e, IdleTimeout: 10 * time.Second}
+	e.server = &http.Server{Addr: r.AppAddr(machine), Handler: e, IdleTimeout: 10 * time.Second}
 	go func() {
-		if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		if err := e.server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
 			r.Logf("endpoint %s ends: %v", e.ID, err)
 		}
 	}()
-	go r.sendBeats(machine, e)
+	go func() {
+		for !e.isLeaving() {
+			r.sendBeat(machine, e, e.nextSequence())
+			time.Sleep(1500 * time.Millisecond)
+		}
+	}()
+}
+
+func (e *Endpoint) nextSequence() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sequence++
+	return e.sequence
+}
+
+func (e *Endpoint) isLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+// sendBeat sends a beat of a ready endpoint and returns the status of the answer, 0 if
+// there is none.
+func (r *Rig) sendBeat(machine int, e *Endpoint, sequence int) int {
+	body, err := json.Marshal(map[string]any{
+		"serviceName": e.Service, "address": r.AppAddr(machine), "siteName": site(machine), "stamp": "v1",
+		"slotCount": e.Slots, "state": "ready", "coldLeftS": 0, "callSeq": sequence,
+	})
+	if err != nil {
+		return 0
+	}
+	return r.callEndpoints(http.MethodPut, machine, e, body)
 }
 
-// sendBeats sends a beat each 1.5 s.
-func (r *Rig) sendBeats(machine int, e *Endpoint) {
+// callEndpoints sends a call about an endpoint to the control address beside it.
+func (r *Rig) callEndpoints(method string, machine int, e *Endpoint, body []byte) int {
+	request, err := http.NewRequest(method, fmt.Sprintf("http://%s/-/endpoints/%s", r.BeatAddr(machine), e.ID), bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{Timeout: time.Second}
-	for sequence := 1; ; sequence++ {
-		body, err := json.Marshal(map[string]any{
-			"serviceName": e.Service, "address": r.AppAddr(machine), "siteName": site(machine), "stamp": "v1",
-			"slotCount": e.Slots, "state": "ready", "coldLeftS": 0, "callSeq": sequence,
-		})
-		if err != nil {
-			return
-		}
-		request, err := http.NewRequest(http.MethodPut, fmt.Sprintf("http://%s/-/endpoints/%s", r.BeatAddr(machine), e.ID), bytes.NewReader(body))
-		if err != nil {
-			return
-		}
-		request.Header.Set("Content-Type", "application/json")
-		if response, err := client.Do(request); err == nil {
-			_ = response.Body.Close()
-		}
-		time.Sleep(1500 * time.Millisecond)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0
 	}
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+// LateBeat sends a beat that comes after the given time.
+func (r *Rig) LateBeat(machine int, e *Endpoint, late time.Duration) {
+	sequence := e.nextSequence()
+	r.Logf("endpoint %s sends beat %d, which comes %v late", e.ID, sequence, late)
+	time.AfterFunc(late, func() {
+		r.Logf("beat %d of %s comes: answered %d", sequence, e.ID, r.sendBeat(machine, e, sequence))
+	})
+}
+
+// SignOff makes the endpoint send DELETE; it serves on. It reports whether that was
+// acknowledged.
+func (r *Rig) SignOff(machine int, e *Endpoint) bool {
+	e.mu.Lock()
+	e.leaving = true
+	e.mu.Unlock()
+	status := r.callEndpoints(http.MethodDelete, machine, e, nil)
+	r.Logf("endpoint %s signs off: answered %d", e.ID, status)
+	return status == http.StatusOK
+}
+
+// End ends the endpoint, with the requests that it works on.
+func (r *Rig) End(e *Endpoint) {
+	_ = e.server.Close()
+	r.Logf("endpoint %s ends", e.ID)
 }
 
 // Visits returns copies of what the endpoint saw, by request id.
@@ -101,6 +155,9 @@
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Instance-Id", e.ID)
 	if r.URL.Path == "/health" {
+		if e.isLeaving() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	w.Header().Set("X-Request-Id", id)
--- a/review/rig2/rig.go
+++ b/review/rig2/rig.go
@@ -289,3 +289,18 @@
 	r.Logf("%v to %s", signal, name)
 	return process.Process.Signal(signal)
 }
+
+// Restart ends the process of a sidecar machine in order and starts it again.
+func (r *Rig) Restart(name string) error {
+	if err := r.Signal(name, syscall.SIGTERM); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	process := r.processes[name]
+	r.mu.Unlock()
+	if err := process.Wait(); err != nil {
+		r.Logf("%s: %v", name, err)
+	}
+	r.Logf("%s has ended", name)
+	return r.start(name, "sidecar")
+}
