--- a/cmd/corkcove/listeners.go
+++ b/cmd/corkcove/listeners.go
@@ -8,6 +8,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"corkcove/internal/connstate"
 	"corkcove/internal/listen"
 	"corkcove/internal/logring"
 	"corkcove/internal/routeconfig"
@@ -68,6 +69,7 @@
 // serve starts serving the listener in the background. Serving ends only with the
 // process, because no listener is ever closed and errors of Accept are retried.
 func (p *process) serve(server *http.Server, listener net.Listener) {
+	server.ConnContext = connstate.ConnContext
 	retrying := listen.Retry(listener, p.log("listen"))
 	go func() { _ = server.Serve(retrying) }()
 }
@@ -137,7 +139,7 @@
 // limitConnections makes the server apply the limiter to its connections, which must come
 // from a listener of the limiter. The server's handler must be one of the limiter.
 func limitConnections(server *http.Server, limiter *listen.Limiter) *http.Server {
-	server.ConnState, server.ConnContext = limiter.ConnState, limiter.ConnContext
+	server.ConnState, server.ConnContext = limiter.ConnState, connstate.ConnContext
 	return server
 }
 
--- a/cmd/corkcove/listeners_test.go
+++ b/cmd/corkcove/listeners_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"fmt"
 	"math"
 	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -12,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/sys/unix"
 
+	"corkcove/internal/connstate"
 	"corkcove/internal/logring"
 	"corkcove/internal/memnet"
 )
@@ -58,6 +61,43 @@
 	}
 }
 
+// Guards against a server whose handlers cannot detect that a client has disconnected while
+// its request is unread (review/6).
+func TestListenersDetectClientsThatDisconnect(t *testing.T) {
+	const (
+		body = 100_000
+		// waitLimit is the time after which a close that was not detected fails the test.
+		waitLimit = 10 * time.Second
+	)
+	detected := make(chan bool, 1)
+	handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		connection := connstate.FromContext(r.Context())
+		started := time.Now()
+		for !connstate.PeerClosed(connection) && time.Since(started) < waitLimit {
+			time.Sleep(time.Millisecond)
+		}
+		detected <- connstate.PeerClosed(connection)
+	})
+	p := &process{logRing: logring.New(logCapacity, logFlushInterval, nil)}
+	for name, start := range map[string]func(net.Listener){
+		"clients":     func(l net.Listener) { newClientListener(l, handler, p.clientLimiter(), p.log("listen")) },
+		"core's ones": func(l net.Listener) { p.serveClients(&http.Server{Handler: handler}, l) },
+		"other":       func(l net.Listener) { p.serve(&http.Server{Handler: handler}, l) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			start(listener)
+			client, err := net.Dial("tcp", listener.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			_, err = fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: l\r\nContent-Length: %d\r\n\r\n%s", body, strings.Repeat("x", body))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, client.Close(), qt.IsNil)
+			qt.Assert(t, <-detected, qt.IsTrue)
+		})
+	}
+}
+
 // Guards against a budget for clients that follows the limit of the operating system where
 // the settings allow more: clients lost their idle connections for no reason.
 func TestDescriptorLimitOfTheSettingsTakesPrecedence(t *testing.T) {
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -116,12 +116,12 @@
 func (s *sidecar) newInbound() *proxy.Inbound {
 	self := s.options.Self
 	return proxy.NewInbound(proxy.InboundOptions{AppAddr: self.AppAddr, LinkMbps: self.Limits.LinkMbps, Pacer: s.pacer, Agent: s.endpoint,
-		AppClient: proxy.NewAppClient(s.endpointTransport, rpc.NewTransport(300*time.Millisecond, 0, time.Second, 1)), BufferLimit: maxInboundBuffer})
+		AppClient: proxy.NewAppClient(s.endpointTransport, rpc.NewTransport(300*time.Millisecond, 0, time.Second, 1)), BufferLimit: maxInboundBuffer, Log: s.log("inbound")})
 }
 
 func (s *sidecar) newOutbound() *proxy.Outbound {
 	transport := rpc.NewTransport(200*time.Millisecond, 600*time.Millisecond, 30*time.Second, 64)
-	transport.ExpectContinueTimeout = time.Second
+	transport.ExpectContinueTimeout = proxy.ContinueTimeout
 	transport.MaxIdleConns = s.maxIdleUpstream()
 	options := s.outboundOptions()
 	options.Service, options.Transport, options.Pacer = s.options.Self.ServiceName, transport, s.pacer
--- a/internal/listen/bench_test.go
+++ b/internal/listen/bench_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"testing"
 
+	"corkcove/internal/connstate"
 	"corkcove/internal/logring"
 )
 
@@ -22,7 +23,7 @@
 	var listener net.Listener = socket
 	if limited {
 		limiter := NewLimiter(3000)
-		server.Handler, server.ConnState, server.ConnContext = limiter.Handler(handler), limiter.ConnState, limiter.ConnContext
+		server.Handler, server.ConnState, server.ConnContext = limiter.Handler(handler), limiter.ConnState, connstate.ConnContext
 		listener = limiter.Listen(Retry(socket, logring.Logger{}))
 	}
 	go func() { _ = server.Serve(listener) }()
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -61,6 +61,9 @@
 	previous, next *limitedConn
 }
 
+// NetConn returns the connection that c wraps, for package connstate.
+func (c *limitedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn. The first bytes of a request make the connection busy.
 func (c *limitedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/internal/listen/limiter.go
+++ b/internal/listen/limiter.go
@@ -1,11 +1,12 @@
 package listen
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"corkcove/internal/connstate"
 )
 
 const (
@@ -54,8 +55,8 @@
 }
 
 // Listen returns a listener whose connections count toward the limit. The http.Server that
-// serves them must use the limiter's ConnState, ConnContext and Handler. Each error of
-// Accept, such as a lack of descriptors, evicts an idle connection.
+// serves them must use connstate.ConnContext and the limiter's ConnState and Handler. Each
+// error of Accept, such as a lack of descriptors, evicts an idle connection.
 func (m *Limiter) Listen(l *Retrying) net.Listener {
 	l.onError = m.evict
 	return &limitedListener{l, m}
@@ -76,20 +77,12 @@
 	}
 }
 
-// connectionKey is the key of the connection in a request's context.
-type connectionKey struct{}
-
-// ConnContext is the hook of http.Server of the same name.
-func (m *Limiter) ConnContext(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connectionKey{}, c)
-}
-
 // Handler returns a handler that marks a request's connection as busy and calls h. This is
 // needed for pipelined requests: the server reads such a request together with the one
 // before it, and reports no change of state.
 func (m *Limiter) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if connection, ok := r.Context().Value(connectionKey{}).(*limitedConn); ok {
+		if connection, ok := connstate.FromContext(r.Context()).(*limitedConn); ok {
 			connection.markBusyIfWaiting()
 		}
 		h.ServeHTTP(w, r)
--- a/internal/listen/limiter_test.go
+++ b/internal/listen/limiter_test.go
@@ -16,6 +16,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corkcove/internal/connstate"
 	"corkcove/internal/logring"
 	"corkcove/internal/memnet"
 )
@@ -43,7 +44,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	})
-	server := &http.Server{Handler: rig.limiter.Handler(handler), IdleTimeout: testIdleTimeout, ConnState: rig.limiter.ConnState, ConnContext: rig.limiter.ConnContext}
+	server := &http.Server{Handler: rig.limiter.Handler(handler), IdleTimeout: testIdleTimeout, ConnState: rig.limiter.ConnState, ConnContext: connstate.ConnContext}
 	listener := rig.limiter.Listen(Retry(rig.network.Listen("l"), logring.Logger{}))
 	go func() { _ = server.Serve(listener) }()
 	return rig
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -1,8 +1,8 @@
 // Package memnet provides an in-memory network for tests, in which addresses map to
-// listeners and connections are pipes. Nothing is buffered: a write blocks until it is
-// read, and a dial blocks until it is accepted. A Network owns its listeners and
-// connections, guards them with a mutex so that any goroutine may use it, and starts no
-// goroutines.
+// listeners and connections are pipes. By default nothing is buffered: a write blocks until
+// it is read. With Network.Window, connections buffer bytes like TCP sockets. A dial blocks
+// until it is accepted. A Network owns its listeners and connections, guards them with a
+// mutex so that any goroutine may use it, and starts no goroutines.
 package memnet
 
 import (
@@ -27,20 +27,27 @@
 
 // Network maps addresses to listeners. Its zero value is an empty network, ready to use.
 type Network struct {
+	// Window is the number of bytes that a connection's receiver buffers in each
+	// direction. The sender buffers as many more. At 0, a write blocks until it is read.
+	// It must be set before the first connection.
+	Window int
+
 	mu          sync.Mutex
 	listeners   map[string]*listener
 	connections []net.Conn
 }
 
-// Listen returns a new listener for an address. A previous listener of the address
-// receives no further connections. The listener's Close method does nothing; it is
-// closed by Network.Close.
+// Listen returns a new listener for an address, and closes a previous listener of the
+// address. The listener's Close method does nothing; it is closed by Network.Close.
 func (n *Network) Listen(address string) net.Listener {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.listeners == nil {
 		n.listeners = map[string]*listener{}
 	}
+	if previous := n.listeners[address]; previous != nil {
+		close(previous.closed)
+	}
 	l := &listener{accepted: make(chan net.Conn), closed: make(chan struct{})}
 	n.listeners[address] = l
 	return l
@@ -80,7 +87,11 @@
 	if l == nil {
 		return nil, nil, nil
 	}
-	client, server = net.Pipe()
+	if n.Window > 0 {
+		client, server = newBufferedPipe(n.Window)
+	} else {
+		client, server = net.Pipe()
+	}
 	n.connections = append(n.connections, client, server)
 	return l, client, server
 }
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -4,7 +4,10 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -57,3 +60,59 @@
 	_, err = n.Dial("a", noWrap)
 	qt.Assert(t, err, qt.ErrorMatches, "dial.*refused")
 }
+
+// connectBuffered returns both ends of a connection with the given window.
+func connectBuffered(t *testing.T, window int) (client, server net.Conn) {
+	t.Helper()
+	n := Network{Window: window}
+	l := n.Listen("a")
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		server, _ := l.Accept()
+		accepted <- server
+	}()
+	client, err := n.Dial("a", noWrap)
+	qt.Assert(t, err, qt.IsNil)
+	return client, <-accepted
+}
+
+func TestBufferedConnectionEndsAfterItsBytes(t *testing.T) {
+	client, server := connectBuffered(t, 4)
+	_, err := io.WriteString(client, "eight by")
+	qt.Assert(t, err, qt.IsNil)
+	state := server.(*bufferedConn)
+	qt.Assert(t, state.UnreadBytes(), qt.Equals, 4)
+	qt.Assert(t, client.Close(), qt.IsNil)
+	qt.Assert(t, state.PeerClosed(), qt.IsFalse)
+	read := make([]byte, 4)
+	_, err = io.ReadFull(server, read)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, state.PeerClosed(), qt.IsTrue)
+	rest, err := io.ReadAll(server)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(read)+string(rest), qt.Equals, "eight by")
+	_, err = io.WriteString(server, "x")
+	qt.Assert(t, errors.Is(err, io.ErrClosedPipe), qt.IsTrue)
+}
+
+func TestBufferedConnectionBlocksUntilItsDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := connectBuffered(t, 1)
+		qt.Assert(t, client.SetDeadline(time.Now().Add(time.Second)), qt.IsNil)
+		started := time.Now()
+		n, err := io.WriteString(client, "full")
+		qt.Assert(t, n, qt.Equals, 2)
+		qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue)
+		_, err = client.Read(make([]byte, 1))
+		qt.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), qt.IsTrue)
+		qt.Assert(t, time.Since(started), qt.Equals, time.Second)
+		qt.Assert(t, client.SetDeadline(time.Time{}), qt.IsNil)
+		go func() {
+			time.Sleep(time.Second)
+			_, _ = io.ReadFull(server, make([]byte, 3))
+		}()
+		_, err = io.WriteString(client, "x")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, time.Since(started), qt.Equals, 2*time.Second)
+	})
+}
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -95,6 +95,9 @@
 // response has been relayed, or the reply for the client if the plan gives up.
 func (r *outboundRequest) executePlan() (reply localreply.Reply, answered bool) {
 	for time.Now().Before(r.deadline) && r.ctx.Err() == nil {
+		if r.watch.detectClose() {
+			r.abort()
+		}
 		endpoint, action := r.plan.Next()
 		if action == retry.GiveUp {
 			break
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -133,8 +133,12 @@
 	mu sync.Mutex
 	// currentAttempt is the number of the attempt that may read.
 	currentAttempt int
-	// readStarted is true once an attempt has read from reader.
+	// readStarted is true once an attempt has read from the body.
 	readStarted bool
+	// ahead was read by readAhead, aheadErr is the error that followed. They do not
+	// change any more once readStarted is set, except by the attempt that reads.
+	ahead    []byte
+	aheadErr error
 }
 
 // attemptBody lets one attempt read the remaining body.
@@ -157,18 +161,42 @@
 	current := b.attempt == b.remainingBody.currentAttempt
 	b.readStarted = b.readStarted || current
 	b.mu.Unlock()
-	if !current {
+	switch {
+	case !current:
 		return 0, errAttemptEnded
+	case len(b.ahead) > 0:
+		n := copy(p, b.ahead)
+		b.remainingBody.ahead = b.ahead[n:]
+		return n, nil
+	case b.aheadErr != nil:
+		return 0, b.aheadErr
 	}
 	return b.reader.Read(p)
 }
 
+// readAhead buffers up to limit bytes of the body, unless an attempt has started to read
+// it, and returns how many it has buffered.
+func (b *remainingBody) readAhead(limit int) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.readStarted || b.aheadErr != nil {
+		return 0
+	}
+	buffer := copyBufferPool.Get().(*[]byte)
+	defer copyBufferPool.Put(buffer)
+	n, err := b.reader.Read((*buffer)[:min(limit, copyBufferSize)])
+	b.ahead, b.aheadErr = append(b.ahead, (*buffer)[:n]...), err
+	return n
+}
+
 // checkedBody is a request body that consists of a buffered part and the rest. It reads
 // from the rest before it returns the buffered part: if the client has disconnected, that
 // fails, and nothing of the body is sent.
 type checkedBody struct {
 	buffered []byte
 	rest     io.Reader
+	// watch reports whether the client has disconnected while the rest can still be read.
+	watch *closeWatch
 	// whole reads the body; it is nil before the first read.
 	whole io.Reader
 }
@@ -181,6 +209,9 @@
 		if n == 0 && err != nil && !errors.Is(err, io.EOF) {
 			return 0, err
 		}
+		if b.watch.detectClose() {
+			return 0, errPeerClosed
+		}
 		b.whole = io.MultiReader(bytes.NewReader(b.buffered), bytes.NewReader(next[:n]), b.rest)
 	}
 	return b.whole.Read(p)
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -44,7 +44,7 @@
 	}
 	// The body cannot be resent, so send it only once the receiver asks for it.
 	headers["Expect"] = []string{"100-continue"}
-	attempt.Body = singleUseBody{&checkedBody{buffered: r.body.buffered, rest: r.body.remaining.forAttempt()}}
+	attempt.Body = singleUseBody{&checkedBody{buffered: r.body.buffered, rest: r.body.remaining.forAttempt(), watch: r.watch}}
 	return attempt
 }
 
--- a/internal/proxy/faultrig_test.go
+++ b/internal/proxy/faultrig_test.go
@@ -229,7 +229,7 @@
 		Service:     "caller",
 		Balancer:    balancer,
 		Routes:      compileRoutes(t, fmt.Sprintf(faultConfig, maxAttempts)),
-		Transport:   rig.network.Transport(),
+		Transport:   rig.network.sidecarTransport(),
 		AppClient:   rig.network.appClient(),
 		RetryBudget: newTestBudget(400),
 		Ready:       alwaysReady,
--- a/internal/proxy/filters.go
+++ b/internal/proxy/filters.go
@@ -141,10 +141,37 @@
 	r.body = requestBody{buffered: kept, complete: complete}
 	if !complete {
 		r.body.remaining = &remainingBody{reader: source}
+		r.watchClose(min(maxReadAhead, int(limit)-len(kept)))
 	}
 	return false
 }
 
+// watchClose cancels the request when the client disconnects. While no attempt reads the
+// remaining body, it reads up to limit bytes of it ahead: a client that cannot send the
+// rest of its request cannot tell that it has disconnected either.
+func (r *outboundRequest) watchClose(limit int) {
+	r.watch = newCloseWatch(r.request, r.pending, r.outbound.options.Log)
+	if r.watch == nil {
+		return
+	}
+	budget, buffered := &r.outbound.readAhead, 0
+	r.watch.readAhead = func(unread int) bool {
+		size := min(unread, limit-buffered, copyBufferSize)
+		if unread < minReadAhead || size <= 0 || !budget.reserve(size) {
+			return false
+		}
+		n := r.body.remaining.readAhead(size)
+		budget.release(size - n)
+		buffered += n
+		return n > 0
+	}
+	stop := r.watch.start()
+	r.onClose(func() {
+		stop()
+		budget.release(buffered)
+	})
+}
+
 // bodyErrorReply returns the reply to a request whose body could not be read.
 func (r *outboundRequest) bodyErrorReply(err error) localreply.Reply {
 	var tooLarge *http.MaxBytesError
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"corkcove/internal/endpointagent"
+	"corkcove/internal/logring"
 	"corkcove/internal/proxy/loadbalancer"
 )
 
@@ -31,6 +32,8 @@
 	// response is relayed. Some longer responses are buffered whole; see
 	// maxBufferedBytes.
 	BufferLimit int
+	// Log receives the chain's log entries.
+	Log logring.Logger
 }
 
 // Inbound handles the requests of other nodes to the endpoint next to this node.
@@ -114,6 +117,8 @@
 	ctx context.Context
 	// pending is the request's entry in Inbound.pending.
 	pending *pendingRequest
+	// watch is nil if the whole body is read while the request waits.
+	watch *closeWatch
 
 	// body is the part of the request's body that was read before the request is
 	// forwarded.
@@ -166,9 +171,20 @@
 	ctx, pending, release := r.inbound.pending.add(r.request.Context(), "", r.deadline)
 	r.onClose(release)
 	r.ctx, r.pending = ctx, pending
+	if !r.readsWholeBodyInQueue() {
+		r.watchClose()
+	}
 	return false
 }
 
+// watchClose cancels the request when the calling node closes its connection.
+func (r *inboundRequest) watchClose() {
+	r.watch = newCloseWatch(r.request, r.pending, r.inbound.options.Log)
+	if r.watch != nil {
+		r.onClose(r.watch.start())
+	}
+}
+
 // maxLinkBacklog is the largest backlog of the node's link, by value of headerBulk,
 // at which requests with large responses are still admitted. It is small while other
 // endpoints may have a free link and larger once those have been tried.
@@ -216,7 +232,7 @@
 // forward sends the request to the endpoint and relays the response, or replies with
 // the reason why there is none.
 func (r *inboundRequest) forward() (done bool) {
-	if r.body.queued && !r.body.complete && !r.readFirstPart() {
+	if r.body.queued && !r.body.complete && !r.readFirstPart() || r.watch.detectClose() {
 		return r.reply(nodeRejected, string(endpointagent.RejectedCanceled))
 	}
 	request := r.newRequest()
--- a/internal/proxy/inboundbody.go
+++ b/internal/proxy/inboundbody.go
@@ -4,8 +4,15 @@
 	"bytes"
 	"io"
 	"net/http"
+	"time"
 )
 
+// ContinueTimeout is the http.Transport.ExpectContinueTimeout for requests to sidecars. It
+// exceeds all deadlines, so that a sidecar receives the part of a body that its peer has not
+// buffered only when the endpoint has a slot for the request. In the socket, that part would
+// hide the close of the connection.
+const ContinueTimeout = time.Hour
+
 // maxQueuedBody is the size in bytes of the bodies that are read whole while their
 // requests wait for a slot. Other nodes send no larger ones without an Expect header.
 const maxQueuedBody = 256 << 10
@@ -40,14 +47,20 @@
 	return io.MultiReader(bytes.NewReader(b.prefix), limitToLength(rest, request.ContentLength-int64(len(b.prefix))))
 }
 
-// Queued implements endpointagent.QueueObserver. It reads the body, unless the body is
-// large or the calling node waits for a 100 Continue response.
+// readsWholeBodyInQueue reports whether the body is read to its end if the request has to
+// wait for a slot: it is not large, and the calling node does not wait for a 100 Continue
+// response.
+func (r *inboundRequest) readsWholeBodyInQueue() bool {
+	return r.request.ContentLength <= maxQueuedBody && r.request.Header.Get("Expect") == ""
+}
+
+// Queued implements endpointagent.QueueObserver. It reads the body, except one that
+// readsWholeBodyInQueue excludes.
 func (r *inboundRequest) Queued() {
 	r.body.queued = true
-	if r.request.ContentLength > maxQueuedBody || r.request.Header.Get("Expect") != "" {
-		return
+	if r.readsWholeBodyInQueue() {
+		r.readPrefix(maxQueuedBody)
 	}
-	r.readPrefix(maxQueuedBody)
 }
 
 // readFirstPart reads the start of a body that has not been read yet, before the request
--- a/internal/proxy/mesh_test.go
+++ b/internal/proxy/mesh_test.go
@@ -170,7 +170,12 @@
 // newSidecarMesh returns a sidecar as the calling node, and endpoints with sidecars
 // of their own.
 func newSidecarMesh(t *testing.T, count int) *testMesh {
-	m := &testMesh{network: &memoryNetwork{}}
+	return newSidecarMeshOn(t, &memoryNetwork{}, count)
+}
+
+// newSidecarMeshOn is like newSidecarMesh, on the given network.
+func newSidecarMeshOn(t *testing.T, network *memoryNetwork, count int) *testMesh {
+	m := &testMesh{network: network}
 	view := &meshpb.View{Version: 1, Nodes: uint32(count)}
 	for i := range count {
 		e, addr := m.addEndpoint(i)
@@ -183,13 +188,18 @@
 	}
 	balancer := loadbalancer.New("z", 1, 1)
 	balancer.ApplyView(view)
-	m.serveOutbound(t, OutboundOptions{Service: "caller", Balancer: balancer, Transport: m.network.Transport()})
+	m.serveOutbound(t, OutboundOptions{Service: "caller", Balancer: balancer, Transport: m.network.sidecarTransport()})
 	return m
 }
 
 // newGatewayMesh returns a gateway and endpoints that it connects to directly.
 func newGatewayMesh(t *testing.T, count int) *testMesh {
-	m := &testMesh{network: &memoryNetwork{}}
+	return newGatewayMeshOn(t, &memoryNetwork{}, count)
+}
+
+// newGatewayMeshOn is like newGatewayMesh, on the given network.
+func newGatewayMeshOn(t *testing.T, network *memoryNetwork, count int) *testMesh {
+	m := &testMesh{network: network}
 	view := &meshpb.View{Version: 1, Nodes: 1}
 	for i := range count {
 		e, addr := m.addEndpoint(i)
--- a/internal/proxy/network_test.go
+++ b/internal/proxy/network_test.go
@@ -10,12 +10,25 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"corkcove/internal/connstate"
 	"corkcove/internal/memnet"
 )
 
 // memoryNetwork is an in-memory network with helpers for tests of the proxy.
 type memoryNetwork struct{ memnet.Network }
 
+// newBufferingNetwork returns a network whose connections buffer bytes, as sockets do.
+func newBufferingNetwork() *memoryNetwork {
+	return &memoryNetwork{memnet.Network{Window: testBufferLimit}}
+}
+
+// sidecarTransport returns a transport for requests to sidecars.
+func (n *memoryNetwork) sidecarTransport() *http.Transport {
+	transport := n.Transport()
+	transport.ExpectContinueTimeout = ContinueTimeout
+	return transport
+}
+
 func (n *memoryNetwork) appClient() *AppClient { return NewAppClient(n.Transport(), n.Transport()) }
 
 // halfClosableConn is the server's side of a connection whose client can close its
@@ -68,4 +81,6 @@
 func closeQuietly(c io.Closer) { _ = c.Close() }
 
 // serveHTTP serves until the listener's network is closed.
-func serveHTTP(h http.Handler, l net.Listener) { _ = (&http.Server{Handler: h}).Serve(l) }
+func serveHTTP(h http.Handler, l net.Listener) {
+	_ = (&http.Server{Handler: h, ConnContext: connstate.ConnContext}).Serve(l)
+}
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -71,6 +71,7 @@
 	// lateLimit is nil unless RequireCompletionBy was called.
 	lateLimit      atomic.Pointer[lateRequestLimit]
 	pending        pendingRequests
+	readAhead      readAheadBudget
 	routeStats     routeStats
 	serviceHistory serviceHistory
 }
--- a/internal/proxy/outboundrequest.go
+++ b/internal/proxy/outboundrequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -42,8 +43,9 @@
 	// responses have not started.
 	pending *pendingRequest
 
-	// Set by readBody.
-	body requestBody
+	// Set by readBody. The watch is nil if the whole body is buffered.
+	body  requestBody
+	watch *closeWatch
 	// Set by pinSession.
 	session sessionPin
 	// Set by sendToEndpoints.
@@ -120,7 +122,8 @@
 
 // isCanceled reports whether the client disconnected before the deadline.
 func (r *outboundRequest) isCanceled() bool {
-	return r.request.Context().Err() != nil && !r.isExpired()
+	disconnected := r.request.Context().Err() != nil || errors.Is(context.Cause(r.ctx), errPeerClosed)
+	return disconnected && !r.isExpired()
 }
 
 // sleep waits for d and returns true, or returns false as soon as the request's
