--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -175,6 +175,7 @@
 		return retry.TimedOut
 	}
 	endpoint.NodeFailed()
+	r.outbound.options.Log.Warn("lost the connection to a peer node", "endpoint", endpoint.ID(), "error", err)
 	return retry.Failed
 }
 
