--- a/internal/memnet/buffered.go
+++ b/internal/memnet/buffered.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +22,16 @@
 	// side is.
 	writeClosed, readClosed     bool
 	readDeadline, writeDeadline deadline
+	// userTimeout is TCP_USER_TIMEOUT of the sender: the connection breaks once bytes have
+	// waited at the sender for so long and none was read. 0 means never.
+	userTimeout time.Duration
+	// progressed is the time at which bytes began to wait at the sender, or at which some
+	// were read since then.
+	progressed time.Time
+	// timedOut is set once the user timeout of the connection has passed.
+	timedOut bool
+	// reverse is the other direction of the connection.
+	reverse *stream
 }
 
 // deadline is the time at which an operation fails; zero means never.
@@ -50,8 +61,11 @@
 		case len(s.unread) > 0:
 			n := copy(p, s.unread)
 			s.unread = s.unread[n:]
+			s.progressed = time.Now()
 			s.changed.Broadcast()
 			return n, nil
+		case s.timedOut:
+			return 0, syscall.ECONNRESET
 		case s.writeClosed:
 			return 0, io.EOF
 		}
@@ -67,10 +81,16 @@
 		switch {
 		case s.readClosed || s.writeClosed:
 			return written, io.ErrClosedPipe
+		case s.timedOut:
+			return written, syscall.ETIMEDOUT
 		case s.writeDeadline.passed():
 			return written, os.ErrDeadlineExceeded
 		}
 		n := min(len(p)-written, 2*s.window-len(s.unread))
+		if n > 0 && len(s.unread) <= s.window && len(s.unread)+n > s.window {
+			s.progressed = time.Now()
+			s.checkProgress(s.userTimeout)
+		}
 		s.unread = append(s.unread, p[written:written+n]...)
 		written += n
 		s.changed.Broadcast()
@@ -81,6 +101,36 @@
 	}
 }
 
+// checkProgress breaks the connection after the given time if the user timeout has passed
+// by then, and else checks again when it may have.
+func (s *stream) checkProgress(after time.Duration) {
+	if after <= 0 {
+		return
+	}
+	time.AfterFunc(after, func() {
+		if s.timeOut() {
+			s.reverse.set(func() { s.reverse.timedOut = true })
+		}
+	})
+}
+
+// timeOut breaks the stream if its user timeout has passed, and reports whether it has.
+func (s *stream) timeOut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.unread) <= s.window || s.userTimeout == 0 {
+		return false
+	}
+	left := s.userTimeout - time.Since(s.progressed)
+	if left > 0 {
+		s.checkProgress(left)
+		return false
+	}
+	s.timedOut = true
+	s.changed.Broadcast()
+	return true
+}
+
 // set sets a field of the stream and wakes the operations that wait.
 func (s *stream) set(change func()) {
 	s.mu.Lock()
@@ -110,14 +160,29 @@
 	return min(len(s.unread), s.window), s.writeClosed && len(s.unread) <= s.window
 }
 
-// bufferedConn is one end of a buffered connection. It implements connstate.Reporter.
-type bufferedConn struct{ incoming, outgoing *stream }
+// bufferedConn is one end of a buffered connection. It implements connstate.Reporter and,
+// like the connections of package rpc, ExtendUserTimeout.
+type bufferedConn struct {
+	incoming, outgoing *stream
+	// userTimeout is that of the connection's dialer.
+	userTimeout time.Duration
+}
 
 // newBufferedPipe returns both ends of a connection that buffers bytes; see
-// Network.Window.
-func newBufferedPipe(window int) (client, server net.Conn) {
+// Network.Window and Network.UserTimeout.
+func newBufferedPipe(window int, userTimeout time.Duration) (client, server net.Conn) {
 	a, b := newStream(window), newStream(window)
-	return &bufferedConn{a, b}, &bufferedConn{b, a}
+	a.reverse, b.reverse = b, a
+	b.userTimeout = userTimeout
+	return &bufferedConn{incoming: a, outgoing: b, userTimeout: userTimeout}, &bufferedConn{incoming: b, outgoing: a}
+}
+
+// ExtendUserTimeout extends TCP_USER_TIMEOUT of this end; 0 restores that of the dialer.
+func (c *bufferedConn) ExtendUserTimeout(timeout time.Duration) {
+	c.outgoing.set(func() {
+		c.outgoing.userTimeout = max(timeout, c.userTimeout)
+		c.outgoing.checkProgress(c.outgoing.userTimeout)
+	})
 }
 
 // Read implements net.Conn. The error is io.EOF after the peer has closed the connection.
--- a/internal/memnet/memnet.go
+++ b/internal/memnet/memnet.go
@@ -31,6 +31,10 @@
 	// direction. The sender buffers as many more. At 0, a write blocks until it is read.
 	// It must be set before the first connection.
 	Window int
+	// UserTimeout is TCP_USER_TIMEOUT of the dialing ends of connections with a Window: a
+	// connection breaks when bytes wait at its sender, and none is read, for so long. 0
+	// means never.
+	UserTimeout time.Duration
 
 	mu          sync.Mutex
 	listeners   map[string]*listener
@@ -88,7 +92,7 @@
 		return nil, nil, nil
 	}
 	if n.Window > 0 {
-		client, server = newBufferedPipe(n.Window)
+		client, server = newBufferedPipe(n.Window, n.UserTimeout)
 	} else {
 		client, server = net.Pipe()
 	}
--- a/internal/memnet/memnet_test.go
+++ b/internal/memnet/memnet_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -95,6 +96,29 @@
 	qt.Assert(t, errors.Is(err, io.ErrClosedPipe), qt.IsTrue)
 }
 
+func TestBufferedConnectionBreaksAfterItsUserTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		client, server := newBufferedPipe(2, time.Second)
+		write := func() (time.Duration, error) {
+			started := time.Now()
+			_, err := io.WriteString(client, "more than both ends hold")
+			return time.Since(started), err
+		}
+		timeouts := client.(interface{ ExtendUserTimeout(time.Duration) })
+		timeouts.ExtendUserTimeout(time.Minute)
+		go func() {
+			time.Sleep(30 * time.Second)
+			_, _ = server.Read(make([]byte, 1))
+			timeouts.ExtendUserTimeout(0)
+		}()
+		took, err := write()
+		qt.Assert(t, took, qt.Equals, 31*time.Second)
+		qt.Assert(t, errors.Is(err, syscall.ETIMEDOUT), qt.IsTrue)
+		_, err = client.Read(make([]byte, 1))
+		qt.Assert(t, err, qt.IsNotNil)
+	})
+}
+
 func TestBufferedConnectionBlocksUntilItsDeadlines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client, server := connectBuffered(t, 1)
--- a/internal/proxy/appclient.go
+++ b/internal/proxy/appclient.go
@@ -63,8 +63,12 @@
 // requestID as its request ID is not accepted.
 func (c *AppClient) send(r *http.Request, requestID string, idempotent bool) (*http.Response, callOutcome, error) {
 	var sent, reused atomic.Bool
+	ctx, length := r.Context(), r.ContentLength
 	r = r.WithContext(httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{
-		GotConn:      func(info httptrace.GotConnInfo) { reused.Store(info.Reused) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			reused.Store(info.Reused)
+			extendUserTimeout(ctx, info.Conn, length)
+		},
 		WroteHeaders: func() { sent.Store(true) },
 	}))
 	response, err := c.transport(idempotent).RoundTrip(r)
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -96,7 +97,7 @@
 // unless the outcome is Answered.
 func (r *outboundRequest) callSidecar(ctx context.Context, endpoint *loadbalancer.Endpoint, shortWait bool) (*http.Response, retry.Outcome) {
 	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }})
+	ctx = httptrace.WithClientTrace(ctx, r.newSidecarTrace(ctx, &sent))
 	request := r.newRequest(ctx, endpoint.InboundAddr(), r.newSidecarHeaders(endpoint, shortWait))
 	response, err := r.outbound.options.Transport.RoundTrip(request)
 	if err != nil {
@@ -119,6 +120,25 @@
 	return response, retry.Answered
 }
 
+// newSidecarTrace returns a trace that sets sent once the request headers are written, and
+// that adapts the connection's user timeout to the body. A body that is not buffered as a
+// whole is sent when the sidecar has asked for it, so until then the sidecar must respond.
+func (r *outboundRequest) newSidecarTrace(ctx context.Context, sent *atomic.Bool) *httptrace.ClientTrace {
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { sent.Store(true) }}
+	if r.body.complete {
+		length := int64(len(r.body.buffered))
+		trace.GotConn = func(info httptrace.GotConnInfo) { extendUserTimeout(ctx, info.Conn, length) }
+		return trace
+	}
+	var connection net.Conn
+	trace.GotConn = func(info httptrace.GotConnInfo) {
+		connection = info.Conn
+		extendUserTimeout(ctx, connection, 0)
+	}
+	trace.Got100Continue = func() { extendUserTimeout(ctx, connection, -1) }
+	return trace
+}
+
 // newSidecarHeaders adds to newHeaders what the endpoint's sidecar needs to queue
 // and forward the request.
 func (r *outboundRequest) newSidecarHeaders(endpoint *loadbalancer.Endpoint, shortWait bool) http.Header {
--- a/internal/proxy/faultrig_test.go
+++ b/internal/proxy/faultrig_test.go
@@ -214,8 +214,13 @@
 // newFaultRig starts a node and the given number of endpoints. All of its routes
 // allow maxAttempts attempts.
 func newFaultRig(t *testing.T, hop string, endpoints, maxAttempts int, f fault) *faultRig {
+	return newFaultRigOn(t, &memoryNetwork{}, hop, endpoints, maxAttempts, f)
+}
+
+// newFaultRigOn is like newFaultRig, on the given network.
+func newFaultRigOn(t *testing.T, network *memoryNetwork, hop string, endpoints, maxAttempts int, f fault) *faultRig {
 	rig := &faultRig{
-		network: &memoryNetwork{},
+		network: network,
 		runs:    &runLog{runs: map[string][]string{}, bodies: map[string]string{}},
 		fault:   f,
 	}
--- a/internal/rpc/transport.go
+++ b/internal/rpc/transport.go
@@ -1,8 +1,10 @@
 package rpc
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -31,21 +33,63 @@
 		Timeout:   dialTimeout,
 		KeepAlive: tcpKeepAlive,
 		Control: func(_, _ string, conn syscall.RawConn) error {
-			return conn.Control(func(fd uintptr) {
-				milliseconds := int(userTimeout / time.Millisecond)
-				// A failure is ignored: the kernel's default timeout then applies.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
-			})
+			setUserTimeout(conn, userTimeout)
+			return nil
 		},
 	}
 }
 
+// Conn is a TCP connection whose user timeout can be extended. It is safe for concurrent use.
+type Conn struct {
+	*net.TCPConn
+	// dialed is the user timeout that the connection was dialed with, current the one in
+	// force.
+	dialed  time.Duration
+	mu      sync.Mutex
+	current time.Duration
+}
+
+// ExtendUserTimeout extends the time after which the connection is closed if sent data
+// remains unacknowledged or the peer's receive window remains closed. 0 restores the timeout
+// that the connection was dialed with. It does nothing if that is the kernel's default.
+func (c *Conn) ExtendUserTimeout(timeout time.Duration) {
+	timeout = max(timeout, c.dialed)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if timeout == c.current || c.dialed == 0 {
+		return
+	}
+	c.current = timeout
+	if raw, err := c.SyscallConn(); err == nil {
+		setUserTimeout(raw, timeout)
+	}
+}
+
+// setUserTimeout sets TCP_USER_TIMEOUT of a socket. A failure is ignored: the previous
+// timeout, at first the kernel's default, then remains in force.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) {
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout/time.Millisecond))
+	})
+}
+
+// dialConn returns a dial function whose TCP connections are of type *Conn.
+func dialConn(dialer *net.Dialer, userTimeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dialer.DialContext(ctx, network, address)
+		if socket, ok := c.(*net.TCPConn); ok && err == nil {
+			return &Conn{TCPConn: socket, dialed: userTimeout, current: userTimeout}, nil
+		}
+		return c, err
+	}
+}
+
 // NewTransport returns a transport for calls to peers; see NewDialer for
-// dialTimeout and userTimeout. It keeps at most idlePerHost idle connections per
-// host and closes them after idleTimeout.
+// dialTimeout and userTimeout. Its connections are of type *Conn. It keeps at most
+// idlePerHost idle connections per host and closes them after idleTimeout.
 func NewTransport(dialTimeout, userTimeout, idleTimeout time.Duration, idlePerHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:         NewDialer(dialTimeout, userTimeout).DialContext,
+		DialContext:         dialConn(NewDialer(dialTimeout, userTimeout), userTimeout),
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
