--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -98,11 +98,23 @@
 	}
 	s.endpoint = endpointagent.New(endpointagent.Options{Service: self.ServiceName, HeartbeatInterval: settings.Seconds(p.options.Platform.HeartbeatSeconds),
 		MissedHeartbeats: maxMissedHeartbeats, QueuePerSlot: queuePerSlot, Log: p.log("endpointagent"), OnChange: s.reportEndpoint})
+	s.agent.OnLastEndpoint = s.restoreLeavingEndpoint
 	s.inbound = s.newInbound()
 	s.outbound = s.newOutbound()
 	return s
 }
 
+// restoreLeavingEndpoint restores the state of an endpoint that was draining or gone before
+// this process started.
+func (s *sidecar) restoreLeavingEndpoint(last *meshpb.Endpoint) {
+	state := lifecycle.State(last.State)
+	if last.Service != s.options.Self.ServiceName || state != lifecycle.Draining && state != lifecycle.Gone {
+		return
+	}
+	s.endpoint.RestoreLeaving(endpointagent.Heartbeat{ID: last.Id, Service: last.Service, Addr: last.Addr, Zone: last.Zone,
+		SoftwareVersion: last.SoftwareVersion, Slots: int(last.Slots), State: state})
+}
+
 // reportEndpoint reports the endpoint's status to the master.
 func (s *sidecar) reportEndpoint(status endpointagent.Status) {
 	self := s.options.Self
--- a/internal/clustercontroller/history.go
+++ b/internal/clustercontroller/history.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"corkcove/internal/lifecycle"
 	"corkcove/internal/rpc/meshpb"
 )
@@ -71,8 +73,20 @@
 	return h.lastEndpoint
 }
 
-// recordReport updates the history with a state that the node reported.
+// returned reports whether a node reports as ready the endpoint that it last reported as
+// draining or gone. Neither is ever taken back by an endpoint, but a node that was restarted
+// does not remember it, and a heartbeat from before may arrive late.
+func (h *nodeHistory) returned(endpoint *meshpb.Endpoint) bool {
+	return announcedShutdown(h.lastEndpoint) && endpoint.GetId() == h.lastEndpoint.Id && !announcedShutdown(endpoint)
+}
+
+// recordReport updates the history with a state that the node reported. An endpoint that
+// has returned keeps the state that it had.
 func (h *nodeHistory) recordReport(state *meshpb.NodeState, now time.Duration, rules historyRules) {
+	if h.returned(state.Endpoint) {
+		state = proto.Clone(state).(*meshpb.NodeState)
+		state.Endpoint.State = h.lastEndpoint.State
+	}
 	endpoint := state.Endpoint
 	id := endpoint.GetId()
 	if id != "" && h.endpointID != "" && id != h.endpointID {
--- a/internal/clustercontroller/polling.go
+++ b/internal/clustercontroller/polling.go
@@ -131,7 +131,8 @@
 	// node has a newer one. seq is 0 until the first report.
 	incarnation string
 	seq         uint64
-	// lastEndpoint tells a node that knows no endpoint which one it had last.
+	// lastEndpoint tells a node that knows no endpoint which one it had last, and a node
+	// whose endpoint has returned that this one is draining or gone.
 	lastEndpoint *meshpb.Endpoint
 	// linger is how long the node holds the next poll while its state is unchanged.
 	linger time.Duration
@@ -212,10 +213,11 @@
 		m.handlePollFailure(p.name, history)
 		return
 	}
+	returned := history.returned(response.Node.Endpoint)
 	m.handlePollResponse(p.name, history, response.Node)
 	p.incarnation, p.seq, p.lastEndpoint = response.Node.Incarnation, response.Node.Seq, nil
 	p.linger = m.pollLinger()
-	if response.Node.Endpoint == nil {
+	if response.Node.Endpoint == nil || returned {
 		p.lastEndpoint = history.lastEndpoint
 	}
 }
--- a/internal/endpointagent/agent.go
+++ b/internal/endpointagent/agent.go
@@ -157,6 +157,26 @@
 	})
 }
 
+// RestoreLeaving records the last heartbeat of an incarnation that was draining or gone
+// before this process started. Other heartbeats of that incarnation that still arrive, or
+// have arrived since the start, do not make it ready.
+func (a *Agent) RestoreLeaving(last Heartbeat) {
+	a.update(func() {
+		if last.State == lifecycle.Gone || a.status.Known && a.status.ID != last.ID {
+			a.endedIncarnations[last.ID] = true
+		}
+		if !a.status.Known {
+			a.status = Status{Heartbeat: last, Healthy: true, Known: true}
+			a.lastContact = a.options.Now()
+		}
+		if a.status.ID != last.ID || a.status.State == lifecycle.Gone {
+			return
+		}
+		a.status.State = last.State
+		a.rejectQueued(RejectedDraining)
+	})
+}
+
 // RecordProbe records an endpoint that responded to a health check before this agent
 // received its first heartbeat. It does nothing if an endpoint is already known, if id
 // is empty, or if the incarnation id has ended.
--- a/internal/nodeagent/agent.go
+++ b/internal/nodeagent/agent.go
@@ -52,6 +52,9 @@
 	// OnPatch applies patches to the active configuration. If it returns an error,
 	// that configuration remains active, unchanged.
 	OnPatch func(version uint64, patches [][]byte) error
+	// OnLastEndpoint, if not nil, is called once, outside the agent's lock, with the
+	// endpoint that the master knew at this node before this process started.
+	OnLastEndpoint func(*meshpb.Endpoint)
 
 	mu sync.Mutex
 	// state is replaced, never modified in place: callers of State and poll responses
--- a/internal/nodeagent/poll.go
+++ b/internal/nodeagent/poll.go
@@ -30,6 +30,7 @@
 	if poll == nil {
 		return &meshpb.PollResponse{Stale: true, Epoch: masterEpoch}, nil
 	}
+	a.recordLastEndpoint(request.LastEndpoint)
 	if poll.lingers {
 		poll.wait(ctx, milliseconds(request.LingerMs))
 	}
@@ -62,9 +63,6 @@
 		close(a.newestPoll.superseded)
 	}
 	a.newestPoll = poll
-	if a.lastEndpoint == nil {
-		a.lastEndpoint = request.LastEndpoint
-	}
 	return poll, a.masterEpoch
 }
 
--- a/internal/nodeagent/register.go
+++ b/internal/nodeagent/register.go
@@ -132,8 +132,12 @@
 // recordLastEndpoint sets lastEndpoint unless it is known already.
 func (a *Agent) recordLastEndpoint(endpoint *meshpb.Endpoint) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.lastEndpoint == nil {
+	first := a.lastEndpoint == nil && endpoint != nil
+	if first {
 		a.lastEndpoint = endpoint
 	}
+	a.mu.Unlock()
+	if first && a.OnLastEndpoint != nil {
+		a.OnLastEndpoint(endpoint)
+	}
 }
