--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -34,14 +34,14 @@
 
 	// tickInterval is the interval at which the replica and the master are ticked.
 	tickInterval = 50 * time.Millisecond
-	// leaseDuration is how long an owner may serve after a quorum renewed its lease.
-	// coreHeartbeatInterval is how often it requests a renewal.
+	// leaseDuration is the time for which an owner may serve after a quorum renewed its
+	// lease. coreHeartbeatInterval is the interval at which it requests a renewal.
 	leaseDuration         = 900 * time.Millisecond
 	coreHeartbeatInterval = 250 * time.Millisecond
-	// requestTimeout is how long a proposed change waits for its commit.
+	// requestTimeout limits the wait of a proposed change for its commit.
 	requestTimeout = 900 * time.Millisecond
-	// evictionTimeout is how long a member must be unreachable before it is removed
-	// from the membership.
+	// evictionTimeout is the time without contact after which a member is removed from the
+	// membership.
 	evictionTimeout = 2 * time.Second
 	// checkpointBytes is the size at which the write-ahead log is compacted.
 	checkpointBytes = 4 << 20
@@ -50,7 +50,7 @@
 	peerCallTimeout  = 600 * time.Millisecond
 	replicateTimeout = 1500 * time.Millisecond
 
-	// apiRetryTimeout is how long the control API retries a caller's request.
+	// apiRetryTimeout is the time for which the control API retries a caller's request.
 	apiRetryTimeout = 650 * time.Millisecond
 	// apiHeaderTimeout limits the time to read the header of a control API request.
 	apiHeaderTimeout = 5 * time.Second
@@ -58,7 +58,7 @@
 	// maxLeaveWait limits how long a core node that shuts down waits until its shards
 	// have other owners. Three quarters of the grace period are a second limit.
 	maxLeaveWait = 6 * time.Second
-	// leaveLinger is how long it continues to serve afterwards, so that calls in
+	// leaveLinger is the time for which it continues to serve afterwards, so that calls in
 	// flight are answered.
 	leaveLinger = 6 * tickInterval
 )
--- a/cmd/corkcove/core_control.go
+++ b/cmd/corkcove/core_control.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// relayWaitTimeout is how long Relay waits until this member has granted a lease
-	// to the calling master, and how long it waits until the replica has reached the
-	// versions that the request names.
+	// relayWaitTimeout limits the wait of Relay until this member has granted a lease to
+	// the calling master, and its wait until the replica has reached the versions that the
+	// request names.
 	relayWaitTimeout = 400 * time.Millisecond
 	// relayPollInterval is the time between two checks of such a condition.
 	relayPollInterval = 20 * time.Millisecond
--- a/cmd/corkcove/coreclient.go
+++ b/cmd/corkcove/coreclient.go
@@ -15,7 +15,7 @@
 	"corkcove/internal/settings"
 )
 
-// defaultParallelCalls is how many nodes a tool queries concurrently.
+// defaultParallelCalls is the number of nodes that a tool queries concurrently.
 const defaultParallelCalls = 16
 
 // These are variables because the end-to-end tests, which run in real time,
--- a/cmd/corkcove/diagnostics.go
+++ b/cmd/corkcove/diagnostics.go
@@ -58,7 +58,7 @@
 	processDiagnostics
 	node  *trafficNode
 	flows *proxy.FlowMeter
-	// preferredEndpoints is how many endpoints of a service the node prefers; 0
+	// preferredEndpoints is the number of endpoints of a service that the node prefers; 0
 	// means all.
 	preferredEndpoints uint32
 	// remoteWeight and bulkWeight are the load balancer's factors for endpoints in
--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// failureReportInterval is how often an edge reports failing endpoints to the
-	// master.
+	// failureReportInterval is the interval at which an edge reports failing endpoints to
+	// the master.
 	failureReportInterval = 500 * time.Millisecond
 	// preferredEndpoints is the size of the subset of a service's endpoints in its
 	// zone that an edge prefers. Subsetting avoids connections from every edge to every
--- a/cmd/corkcove/endpointprobe.go
+++ b/cmd/corkcove/endpointprobe.go
@@ -12,7 +12,7 @@
 const (
 	// probeTimeout limits one request to the endpoint's health check.
 	probeTimeout = 400 * time.Millisecond
-	// probePollInterval is how often the preconditions of a probe are checked.
+	// probePollInterval is the interval at which the preconditions of a probe are checked.
 	probePollInterval = 20 * time.Millisecond
 	// maxProbes limits the number of requests.
 	maxProbes = 3
--- a/cmd/corkcove/hotkeys.go
+++ b/cmd/corkcove/hotkeys.go
@@ -43,7 +43,7 @@
 	Key     string `json:"key"`
 	Service string `json:"service"`
 	Route   string `json:"route"`
-	// Width is how many endpoints the reads are spread over.
+	// Width is the number of endpoints that the reads are spread over.
 	Width uint32 `json:"width"`
 	// ReadsPerSecond is summed over all nodes; Nodes counts them.
 	ReadsPerSecond float64 `json:"readsPerS"`
--- a/cmd/corkcove/process.go
+++ b/cmd/corkcove/process.go
@@ -32,8 +32,8 @@
 	logFlushInterval = 5 * time.Second
 	// traceCapacity is the number of trace events that each process keeps.
 	traceCapacity = 1024
-	// seedReloadInterval is how often the seeds are reloaded while the process has
-	// not found the core.
+	// seedReloadInterval is the interval at which the seeds are reloaded while the process
+	// has not found the core.
 	seedReloadInterval = 2 * time.Second
 )
 
--- a/cmd/corkcove/replay_compare.go
+++ b/cmd/corkcove/replay_compare.go
@@ -15,7 +15,7 @@
 	// save.
 	forecastFile, recordFile string
 	comparison               replay.CompareOptions
-	// limit is how many rows of each kind are listed.
+	// limit is the maximum number of rows of each kind in the list.
 	limit int
 }
 
--- a/cmd/corkcove/replay_save.go
+++ b/cmd/corkcove/replay_save.go
@@ -30,7 +30,7 @@
 	file string
 	// span is how far back the records go.
 	span time.Duration
-	// parallel is how many nodes are queried concurrently.
+	// parallel is the number of nodes that are queried concurrently.
 	parallel int
 }
 
--- a/cmd/corkcove/sessionpins.go
+++ b/cmd/corkcove/sessionpins.go
@@ -21,10 +21,10 @@
 	// total time.
 	maxPinCalls = 4
 	pinTimeout  = 3 * pinCallTimeout
-	// sessionMoveDelay is how long an endpoint must be gone before its sessions are
+	// sessionMoveDelay is the time after the end of an endpoint at which its sessions are
 	// moved to other endpoints.
 	sessionMoveDelay = 300 * time.Millisecond
-	// pinRefreshesPerIdle is how many times a pin in use is refreshed within the idle
+	// pinRefreshesPerIdle is the number of refreshes of a pin in use within the idle
 	// timeout.
 	pinRefreshesPerIdle = 8
 )
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -20,11 +20,13 @@
 	// maxMissedHeartbeats is the number of consecutive heartbeats that an endpoint may
 	// miss.
 	maxMissedHeartbeats = 3
-	// queuePerSlot is how many requests may be queued per slot of the endpoint.
+	// queuePerSlot is the maximum number of queued requests per slot of the endpoint.
 	queuePerSlot = 1.5
-	// endpointTickInterval is how often the sidecar checks for missed heartbeats.
+	// endpointTickInterval is the interval at which the sidecar checks for missed
+	// heartbeats.
 	endpointTickInterval = 250 * time.Millisecond
-	// maxInboundBuffer is how many bytes of a response body the inbound chain buffers.
+	// maxInboundBuffer is the maximum number of bytes of a response body that the inbound
+	// chain buffers.
 	maxInboundBuffer = 64 << 10
 	// inboundIdleTimeout is the idle timeout for connections from other nodes.
 	inboundIdleTimeout = 2 * time.Minute
--- a/cmd/corkcove/status_output.go
+++ b/cmd/corkcove/status_output.go
@@ -52,7 +52,7 @@
 	// LeaseMillis is the remaining time of the owner's lease in milliseconds.
 	LeaseMillis int64           `json:"lease_ms,omitempty"`
 	Replicas    []replicaStatus `json:"copies,omitempty"`
-	// MayLose is how many more members may fail without making the shard
+	// MayLose is the number of further members that may fail before the shard becomes
 	// unavailable.
 	MayLose int32 `json:"may_lose,omitempty"`
 	Owned   bool  `json:"owned,omitempty"`
--- a/cmd/corkcove/trafficnode.go
+++ b/cmd/corkcove/trafficnode.go
@@ -31,17 +31,17 @@
 	// registerInterval is the initial interval between attempts to register. It grows
 	// while registration fails.
 	registerInterval = 120 * time.Millisecond
-	// reregisterAfter is how long a node waits for a poll of a master before it
-	// registers again.
+	// reregisterAfter is the time without a poll of a master after which a node registers
+	// again.
 	reregisterAfter = 2400 * time.Millisecond
 
-	// maxOutboundBuffer is how many bytes of a body the outbound chain buffers.
+	// maxOutboundBuffer is the maximum number of bytes of a body that the outbound chain
+	// buffers.
 	maxOutboundBuffer = 256 << 10
-	// deadlineMargin is how much earlier than the client's deadline an endpoint must
-	// respond.
+	// deadlineMargin is subtracted from the client's deadline to get that of an endpoint.
 	deadlineMargin = 3 * time.Millisecond
 
-	// hotKeyReportInterval is how often the read rates of keys are checked.
+	// hotKeyReportInterval is the interval at which the read rates of keys are checked.
 	hotKeyReportInterval = time.Second
 	// hotKeyGrowthFactor is the growth of a key's rate since the last report above
 	// which it is reported immediately.
--- a/cmd/fakeendpoint/endpoint.go
+++ b/cmd/fakeendpoint/endpoint.go
@@ -27,7 +27,7 @@
 	healthPath = "/health"
 	// heartbeatTimeout bounds each heartbeat request to the sidecar.
 	heartbeatTimeout = time.Second
-	// drainDuration is how long the endpoint keeps serving after SIGTERM or SIGINT.
+	// drainDuration is the time for which the endpoint serves after SIGTERM or SIGINT.
 	drainDuration = 2 * time.Second
 
 	headerRequestID        = "X-Request-Id"
--- a/internal/clustercontroller/batches.go
+++ b/internal/clustercontroller/batches.go
@@ -13,12 +13,13 @@
 	// maxDirectNodes is the size up to which the master itself calls the nodes of a
 	// batch. Larger batches go through relays.
 	maxDirectNodes = 10
-	// batchWindow is how long requests are held back to be batched, and how long a
-	// merge of the nodes' states is held back to cover further changes.
+	// batchWindow is the delay of requests that are to be batched, and the delay of a merge
+	// of the nodes' states, so that it covers further changes.
 	batchWindow = 4 * time.Millisecond
 	// maxRelays is the largest number of members that the master uses as relays.
 	maxRelays = 16
-	// relayRetryDelay is how long a member that did not answer is not used as a relay.
+	// relayRetryDelay is the time for which a member that did not answer is not used as a
+	// relay.
 	relayRetryDelay = 1500 * time.Millisecond
 	// relayCallTimeout is the timeout of a call to a relay. It leaves the relay time to
 	// respond after its own timeout.
--- a/internal/clustercontroller/outliers.go
+++ b/internal/clustercontroller/outliers.go
@@ -18,20 +18,20 @@
 	// minOutlierFailurePercent is the lowest failure percentage at which an endpoint may
 	// be marked as an outlier or ejected.
 	minOutlierFailurePercent = 20
-	// outlierMedianFactor is how many times the median failure percentage of its
-	// service an outlier must exceed.
+	// outlierMedianFactor is the multiple of the median failure percentage of its service
+	// that an outlier exceeds.
 	outlierMedianFactor = 2
-	// minEjectionFailures is how many failures all nodes together must report before
-	// an endpoint is ejected.
+	// minEjectionFailures is the number of failures, reported by all nodes together, at
+	// which an endpoint is ejected.
 	minEjectionFailures = 3
-	// minRecoverySuccesses is how many successes, without a failure, all nodes together
-	// must report to end an ejection early.
+	// minRecoverySuccesses is the number of successes without a failure, reported by all
+	// nodes together, that ends an ejection early.
 	minRecoverySuccesses = 4
 	// baseEjectionTime is the longest that a first ejection lasts. The limit doubles
 	// with each further ejection, up to maxEjectionTime.
 	baseEjectionTime = 2500 * time.Millisecond
 	maxEjectionTime  = 10 * time.Second
-	// ejectionBackoffReset is how long after the end of an ejection its record is
+	// ejectionBackoffReset is the time after the end of an ejection at which its record is
 	// deleted. The limit on a later ejection is then baseEjectionTime again.
 	ejectionBackoffReset = 4 * maxEjectionTime
 )
@@ -93,7 +93,8 @@
 	failurePercent uint32
 	// changedAt is the time at which the ejection began or ended.
 	changedAt time.Duration
-	// duration is how long the ejection lasts unless the endpoint recovers earlier.
+	// duration is the time after which the ejection ends unless the endpoint recovers
+	// earlier.
 	duration time.Duration
 }
 
--- a/internal/clustercontroller/polling.go
+++ b/internal/clustercontroller/polling.go
@@ -67,8 +67,9 @@
 
 func milliseconds(d time.Duration) uint64 { return uint64(d / time.Millisecond) }
 
-// pollLinger is how long a node holds a poll while its state is unchanged. It grows
-// with the number of nodes, so that an idle mesh costs the master little.
+// pollLinger returns the time for which a node delays its response to a poll while its
+// state is unchanged. It grows with the number of nodes, so that an idle mesh costs the
+// master little.
 func (m *Master) pollLinger() time.Duration {
 	perNode := time.Duration(len(m.histories)) * m.options.PollLingerPerNode
 	return max(m.options.PollLinger, min(perNode, m.options.MaxPollLinger))
@@ -124,7 +125,7 @@
 	name   string
 	epoch  uint64
 	node   meshpb.Node
-	// grace is how much longer than its linger time a poll may take.
+	// grace is the timeout of a poll beyond its linger time.
 	grace time.Duration
 
 	// incarnation and seq identify the node's last report; a poll lingers until the
@@ -134,7 +135,8 @@
 	// lastEndpoint tells a node that knows no endpoint which one it had last, and a node
 	// whose endpoint has returned that this one is draining or gone.
 	lastEndpoint *meshpb.Endpoint
-	// linger is how long the node holds the next poll while its state is unchanged.
+	// linger is the time for which the node delays its response to the next poll while its
+	// state is unchanged.
 	linger time.Duration
 }
 
--- a/internal/controlapi/watch.go
+++ b/internal/controlapi/watch.go
@@ -14,7 +14,8 @@
 const (
 	// paramAfter is the revision after which events are returned; 0 if it is absent.
 	paramAfter = "after"
-	// paramWaitMs is how long to wait for an event, in milliseconds; 0 if it is absent.
+	// paramWaitMs is the timeout of the wait for an event in milliseconds; 0 if it is
+	// absent.
 	paramWaitMs = "waitMs"
 )
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -18,8 +18,8 @@
 	// maxPages and maxPageBytes limit what is read if the platform's list does not end.
 	maxPages     = 400
 	maxPageBytes = 4 << 20
-	// maxConcurrentReaders is how many nodes may read the list at the same time: the
-	// old and the new master during a takeover.
+	// maxConcurrentReaders is the maximum number of nodes that read the list at the same
+	// time: the old and the new master during a takeover.
 	maxConcurrentReaders = 2
 )
 
--- a/internal/proxy/appclient.go
+++ b/internal/proxy/appclient.go
@@ -9,12 +9,12 @@
 	"time"
 )
 
-// freshConnectionPeriod is how long after the reset of a reused connection requests
-// that must not run twice are sent on new connections.
+// freshConnectionPeriod is the time after the reset of a reused connection during which
+// requests that must not run twice are sent on new connections.
 const freshConnectionPeriod = 12 * time.Second
 
-// maxDeclinedBodyBytes is how much is read of the response's body if an endpoint
-// declined the request.
+// maxDeclinedBodyBytes is the maximum number of bytes that are read of a response's body
+// if its endpoint declined the request.
 const maxDeclinedBodyBytes = 4 << 10
 
 // AppClient sends requests to endpoints. If a reused connection is reset, the request
--- a/internal/proxy/attempts.go
+++ b/internal/proxy/attempts.go
@@ -14,8 +14,8 @@
 	// noEndpointRetryDelay is the pause before a request that found no endpoint
 	// tries to choose one again.
 	noEndpointRetryDelay = 20 * time.Millisecond
-	// slowEjectionTime is how long a direct endpoint is ejected if it does not
-	// respond within retry.SlowThreshold.
+	// slowEjectionTime is the ejection time of a direct endpoint that does not respond
+	// within retry.SlowThreshold.
 	slowEjectionTime = time.Second
 )
 
--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -15,8 +15,8 @@
 	// initialBufferSize limits the first allocation, in bytes, for the prefix of a body
 	// whose length is unknown or over the limit of readPrefix.
 	initialBufferSize = 8 << 10
-	// maxDrainedBytes is how much of a discarded response's body is read so that its
-	// connection can be reused.
+	// maxDrainedBytes is the maximum number of bytes that are read of a discarded
+	// response's body. If that is the whole body, its connection can be reused.
 	maxDrainedBytes = 64 << 10
 	// transferGrace is added to a request's deadline to get the deadlines for reading
 	// its body and for writing its response.
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -200,12 +200,12 @@
 }
 
 const (
-	// unhealthyEjectionTime is how long an endpoint is ejected if its sidecar
-	// rejects requests because the endpoint is unhealthy or missing, or the
-	// sidecar is stopping.
+	// unhealthyEjectionTime is the ejection time of an endpoint whose sidecar rejects
+	// requests because the endpoint is unhealthy or missing, or because the sidecar is
+	// stopping.
 	unhealthyEjectionTime = 200 * time.Millisecond
-	// unreachableEjectionTime is how long an endpoint is ejected if its sidecar
-	// could not connect to it.
+	// unreachableEjectionTime is the ejection time of an endpoint that its sidecar could
+	// not connect to.
 	unreachableEjectionTime = 300 * time.Millisecond
 )
 
--- a/internal/proxy/clients_test.go
+++ b/internal/proxy/clients_test.go
@@ -33,7 +33,7 @@
 		// statusCodes are those of the responses that the client receives; 0 means that
 		// the connection is closed.
 		statusCodes []int
-		// runs is how many times the request with ID "r" runs.
+		// runs is the number of times that the request with ID "r" runs.
 		runs int
 	}{
 		"small body stalls":                 {input: "POST /e/" + requestHeaders + "r\r\nContent-Length: 9\r\n\r\nhalf", statusCodes: []int{503, 0}},
@@ -175,7 +175,7 @@
 		addr = "delayed"
 		// eofDelay is the delay of the read after the last bytes.
 		eofDelay = 500 * time.Millisecond
-		// clientDelay is how long the client waits before it reads the response body.
+		// clientDelay is the time that the client waits before it reads the response body.
 		clientDelay = time.Second
 		// bodyBytes is the size of the request body and of the response body.
 		bodyBytes = 100 << 10
--- a/internal/proxy/closewatch.go
+++ b/internal/proxy/closewatch.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// closeCheckInterval is how often a closeWatch checks the connection. A client's
-	// close is detected by two nodes in turn, and must cancel the request at the endpoint
-	// within half a second.
+	// closeCheckInterval is the interval at which a closeWatch checks the connection. Two
+	// nodes in turn detect a client's close, and together they must cancel the request at
+	// the endpoint within half a second.
 	closeCheckInterval = 100 * time.Millisecond
 	// maxReadAhead limits how many bytes of a request's body are read ahead.
 	maxReadAhead = 512 << 10
--- a/internal/proxy/headers.go
+++ b/internal/proxy/headers.go
@@ -13,7 +13,8 @@
 const (
 	// headerRequestID identifies a request. The response must repeat it.
 	headerRequestID = "X-Request-Id"
-	// headerDeadline is how long the sender waits for the response, in ms.
+	// headerDeadline is the time in milliseconds until the sender stops waiting for the
+	// response.
 	headerDeadline = "X-Deadline-Ms"
 	// headerSeal is set by endpoints; a 2xx response without it is not accepted.
 	headerSeal = "X-Server-Seal"
--- a/internal/proxy/inbound.go
+++ b/internal/proxy/inbound.go
@@ -28,8 +28,8 @@
 	Agent *endpointagent.Agent
 	// AppClient sends requests to the endpoint.
 	AppClient *AppClient
-	// BufferLimit is how much of a response body, in bytes, is buffered before the
-	// response is relayed. Some longer responses are buffered whole; see
+	// BufferLimit is the maximum number of bytes of a response body that are buffered
+	// before the response is relayed. Some longer responses are buffered completely; see
 	// maxBufferedBytes.
 	BufferLimit int
 	// Log receives the chain's log entries.
@@ -225,8 +225,7 @@
 	return limit
 }
 
-// forwardMargin is how long before the calling node's deadline the endpoint has to
-// respond.
+// forwardMargin is subtracted from the calling node's deadline to get the endpoint's.
 const forwardMargin = 2 * time.Millisecond
 
 // forward sends the request to the endpoint and relays the response, or replies with
--- a/internal/proxy/outbound.go
+++ b/internal/proxy/outbound.go
@@ -46,9 +46,9 @@
 	Ready func() bool
 	// Log receives the chain's log entries.
 	Log logring.Logger
-	// BufferLimit is how much of a request or response body is buffered, in bytes. A
-	// request with a longer body cannot be retried once sending the part beyond the
-	// limit has started.
+	// BufferLimit is the maximum number of bytes of a request or response body that are
+	// buffered. A request with a longer body cannot be retried once an attempt has read
+	// the part beyond the limit.
 	BufferLimit int
 	// DeadlineMargin is subtracted from the deadline that is passed on to an
 	// endpoint, so that its response reaches the client in time.
--- a/internal/proxy/pacer.go
+++ b/internal/proxy/pacer.go
@@ -18,8 +18,8 @@
 	// agingFactor is how fast a waiting body gains priority over bodies that arrive
 	// later, as a fraction of the bytes that the link carries in the meantime.
 	agingFactor = 0.5
-	// stallMargin is how long a body may hold the link beyond twice its transfer
-	// time before it counts as stalled.
+	// stallMargin is added to twice the transfer time of a body to get the time after
+	// which its transfer counts as stalled.
 	stallMargin = 150 * time.Millisecond
 )
 
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// shutdownPollInterval is how often a shutdown checks for requests in flight. It
-	// is also the delay before the exit, because net/http flushes a response just
-	// after its handler has returned.
+	// shutdownPollInterval is the interval at which a shutdown checks for requests in
+	// flight. It is also the delay before the exit, because net/http flushes a response
+	// just after its handler has returned.
 	shutdownPollInterval = 20 * time.Millisecond
-	// inboundStopMargin is how long before the end of the linger time the inbound chain
-	// stops admitting requests.
+	// inboundStopMargin is the time before the end of the linger time at which the inbound
+	// chain stops admitting requests.
 	inboundStopMargin = 500 * time.Millisecond
 	// selectiveAcceptDelay is the time after the SIGTERM after which the outbound
 	// chain accepts only requests whose deadlines come before the final replies. A
@@ -24,16 +24,16 @@
 	// signalDelayMargin allows for the time until this process notices the SIGTERM. A
 	// processor quota may hold it up for nearly a whole period of 100 ms.
 	signalDelayMargin = 100 * time.Millisecond
-	// stopAcceptingMargin is how long before the end of the grace period the outbound
-	// chain stops accepting requests.
+	// stopAcceptingMargin is the time before the end of the grace period at which the
+	// outbound chain stops accepting requests.
 	stopAcceptingMargin = 1800 * time.Millisecond
-	// finalReplyMargin is how long before the end of the grace period this process
-	// itself replies to the requests that have no response yet. It is short because
-	// endpoints may still respond, but leaves a slow machine enough time to write the
-	// replies.
+	// finalReplyMargin is the time before the end of the grace period at which this
+	// process itself replies to the requests that have no response yet. It is short
+	// because endpoints may still respond, but leaves a slow machine enough time to write
+	// the replies.
 	finalReplyMargin = 350 * time.Millisecond
-	// exitMargin is how long before the end of the grace period, when the SIGKILL
-	// comes, the process exits even if requests are in flight.
+	// exitMargin is the time before the end of the grace period, and so before the
+	// SIGKILL, at which the process exits even if requests are in flight.
 	exitMargin = 200 * time.Millisecond
 )
 
@@ -42,8 +42,8 @@
 type Shutdown struct {
 	// Grace is the time from the SIGTERM to the SIGKILL.
 	Grace time.Duration
-	// Linger is how long the node continues to serve at least, since clients need some
-	// time to switch to other nodes.
+	// Linger is the minimum time for which the node continues to serve. Clients need it to
+	// switch to other nodes.
 	Linger time.Duration
 	// Outbound is the node's outbound chain.
 	Outbound *Outbound
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -25,9 +25,9 @@
 	testDeadline = 10 * time.Second
 	// headerWorkTime tells the endpoint of a test how long to work on a request.
 	headerWorkTime = "X-Test-Takes"
-	// quickRequests is how many quick requests a route has had before some tests.
+	// quickRequests is the number of quick requests that a route has had before some tests.
 	quickRequests = 50
-	// quickWork is how long endpoints work on a request by default.
+	// quickWork is the default time that endpoints work on a request.
 	quickWork = 20 * time.Millisecond
 	// longWork keeps a node in service beyond its linger time.
 	longWork = 2500 * time.Millisecond
@@ -45,13 +45,13 @@
 	to string
 	// path begins with the prefix of a route: /p/ is idempotent, /e/ is not.
 	path string
-	// workTime is how long the endpoint works on the request, by default quickWork.
+	// workTime is the time that the endpoint works on the request, by default quickWork.
 	workTime time.Duration
-	// deadline is how long the sender waits, by default testDeadline.
+	// deadline is the time that the sender waits, by default testDeadline.
 	deadline time.Duration
 	// id is the request's ID, by default a new one.
 	id string
-	// bodyTime is how long after the header the body is sent, if it is not 0.
+	// bodyTime is the time from sending the header to sending the body, unless it is 0.
 	bodyTime time.Duration
 }
 
@@ -75,7 +75,7 @@
 	sent atomic.Int64
 	// started is the time at which the SIGTERM came.
 	started time.Time
-	// signalDelay is how long the process does not notice the SIGTERM.
+	// signalDelay is the time from the SIGTERM until the process receives it.
 	signalDelay time.Duration
 	// exited receives the time that the shutdown took.
 	exited chan time.Duration
--- a/internal/proxy/usertimeout_test.go
+++ b/internal/proxy/usertimeout_test.go
@@ -22,7 +22,7 @@
 	pausingWindow = maxUnpausedBody
 	// pausingUserTimeout is the user timeout of these connections.
 	pausingUserTimeout = 600 * time.Millisecond
-	// readPause is how long an endpoint pauses before it reads a body.
+	// readPause is the pause of an endpoint before it reads a body.
 	readPause = 2 * time.Second
 )
 
--- a/internal/routeconfig/config.go
+++ b/internal/routeconfig/config.go
@@ -31,9 +31,9 @@
 	MaxHeaderBytes int
 	// MaxBodyBytes is the maximum size of a request's body.
 	MaxBodyBytes int64
-	// HeaderTimeout is how long a client may take to send a request's headers.
+	// HeaderTimeout limits the time in which a client sends a request's headers.
 	HeaderTimeout time.Duration
-	// IdleTimeout is how long a connection is kept open without a request.
+	// IdleTimeout is the time without a request after which a connection is closed.
 	IdleTimeout time.Duration
 }
 
