--- a/internal/proxy/body.go
+++ b/internal/proxy/body.go
@@ -175,7 +175,8 @@
 }
 
 // readAhead buffers up to limit bytes of the body, unless an attempt has started to read
-// it, and returns how many it has buffered.
+// it, and returns how many it has buffered. The limit must not exceed what was received, or
+// the next attempt would wait for the client.
 func (b *remainingBody) readAhead(limit int) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/proxy/closewatch.go
+++ b/internal/proxy/closewatch.go
@@ -20,9 +20,12 @@
 	maxReadAhead = 512 << 10
 	// maxTotalReadAhead limits how many bytes of bodies a chain has read ahead.
 	maxTotalReadAhead = 16 << 20
-	// minReadAhead is the minimum number of unread bytes for reading ahead. It exceeds
-	// the framing of a chunked body, so that reading ahead does not block.
+	// minReadAhead is the minimum number of unread bytes for reading ahead.
 	minReadAhead = 4 << 10
+	// chunkedReadAheadDivisor divides the number of unread bytes of a chunked body to get
+	// the number of bytes that can be read ahead without waiting for the client. A chunk
+	// of one byte has five bytes of framing.
+	chunkedReadAheadDivisor = 8
 )
 
 // errPeerClosed is the cause of contexts canceled because the peer has closed the
--- a/internal/proxy/filters.go
+++ b/internal/proxy/filters.go
@@ -156,7 +156,13 @@
 	}
 	budget, buffered := &r.outbound.readAhead, 0
 	r.watch.readAhead = func(unread int) bool {
-		size := min(unread, limit-buffered, copyBufferSize)
+		// Reading more than was received would wait for the client, and the response would
+		// wait for that.
+		available := unread
+		if r.request.ContentLength < 0 {
+			available /= chunkedReadAheadDivisor
+		}
+		size := min(available, limit-buffered, copyBufferSize)
 		if unread < minReadAhead || size <= 0 || !budget.reserve(size) {
 			return false
 		}
--- a/internal/proxy/gone_test.go
+++ b/internal/proxy/gone_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -175,6 +176,36 @@
 	}
 }
 
+// Guards against reading ahead that waits for a client which has stopped sending, and so
+// delays the next attempt.
+func TestReadingAheadDoesNotDelayTheNextAttempt(t *testing.T) {
+	for _, chunkBytes := range []int{1, 100, 3000, 40_000} {
+		for _, cut := range []int{1, 2, 5, 50} {
+			inVirtualTime(t, fmt.Sprintf("chunks of %d bytes, the last without %d", chunkBytes, cut), func(t *testing.T) {
+				rig := newShutdownRig(newSidecarMeshOn(t, newBufferingNetwork(), 2))
+				defer rig.close()
+				for range 4 {
+					go rig.send(testRequest{path: "/e/", workTime: 2 * time.Second})
+				}
+				time.Sleep(100 * time.Millisecond)
+				client, err := rig.network.Dial("out", func(server net.Conn) net.Conn { return server })
+				qt.Assert(t, err, qt.IsNil)
+				body := strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", chunkBytes, strings.Repeat("x", chunkBytes)), testBufferLimit*3/2/chunkBytes+1)
+				go writeText(client, "POST /e/"+requestHeaders+"r\r\nTransfer-Encoding: chunked\r\n\r\n"+body[:len(body)-cut])
+				time.Sleep(650 * time.Millisecond)
+				first, second := rig.agents[0], rig.agents[1]
+				if second.Load().Queued == 1 {
+					first, second = second, first
+				}
+				qt.Assert(t, first.Load().Queued, qt.Equals, 1)
+				first.Stop()
+				time.Sleep(time.Millisecond)
+				qt.Assert(t, second.Load().Queued, qt.Equals, 1)
+			})
+		}
+	}
+}
+
 // Guards against a retry or a hedged attempt that begins after the client has left.
 func TestNoAttemptBeginsAfterTheClientLeft(t *testing.T) {
 	const leavesAfter = 30 * time.Millisecond
