--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -106,15 +106,14 @@
 	return s
 }
 
-// restoreLeavingEndpoint restores the state of an endpoint that was draining or gone before
-// this process started.
+// restoreLeavingEndpoint restores the state of an endpoint that has announced its shutdown
+// before this process started.
 func (s *sidecar) restoreLeavingEndpoint(last *meshpb.Endpoint) {
-	state := lifecycle.State(last.State)
-	if last.Service != s.options.Self.ServiceName || state != lifecycle.Draining && state != lifecycle.Gone {
+	if last.Service != s.options.Self.ServiceName || !last.AnnouncedShutdown {
 		return
 	}
 	s.endpoint.RestoreLeaving(endpointagent.Heartbeat{ID: last.Id, Service: last.Service, Addr: last.Addr, Zone: last.Zone,
-		SoftwareVersion: last.SoftwareVersion, Slots: int(last.Slots), State: state})
+		SoftwareVersion: last.SoftwareVersion, Slots: int(last.Slots), State: lifecycle.State(last.State)})
 }
 
 // reportEndpoint reports the endpoint's status to the master.
--- a/internal/clustercontroller/history.go
+++ b/internal/clustercontroller/history.go
@@ -56,7 +56,8 @@
 	crashLooping bool
 
 	// lastEndpoint is the last endpoint that the node reported, or the one of the last
-	// view.
+	// view. Only a reported one can have announced its shutdown: the view does not
+	// contain the reason why an endpoint is draining.
 	lastEndpoint *meshpb.Endpoint
 	// restoredFromView is true for a while after a takeover if the last view had an
 	// endpoint of this node. If all nodes have just restarted, the node may not have
@@ -77,7 +78,7 @@
 // draining or gone. Neither is ever taken back by an endpoint, but a node that was restarted
 // does not remember it, and a heartbeat from before may arrive late.
 func (h *nodeHistory) returned(endpoint *meshpb.Endpoint) bool {
-	return announcedShutdown(h.lastEndpoint) && endpoint.GetId() == h.lastEndpoint.Id && !announcedShutdown(endpoint)
+	return h.lastEndpoint.GetAnnouncedShutdown() && endpoint.GetId() == h.lastEndpoint.Id && !announcedShutdown(endpoint)
 }
 
 // recordReport updates the history with a state that the node reported. An endpoint that
@@ -100,8 +101,10 @@
 		}
 		h.lastEndpoint = endpoint
 	}
-	if announcedShutdown(endpoint) {
+	if id != "" && announcedShutdown(endpoint) {
 		h.endpointID, h.warmingUp = "", false
+		h.lastEndpoint = proto.Clone(endpoint).(*meshpb.Endpoint)
+		h.lastEndpoint.AnnouncedShutdown = true
 	}
 	h.state = state
 	h.lastContact, h.pollFailures, h.reachable = now, 0, true
--- a/internal/clustercontroller/returned_test.go
+++ b/internal/clustercontroller/returned_test.go
@@ -31,8 +31,8 @@
 			})
 		}})
 	node.OnLastEndpoint = func(last *meshpb.Endpoint) {
-		if state := lifecycle.State(last.State); state != lifecycle.Ready {
-			endpoint.RestoreLeaving(endpointagent.Heartbeat{ID: last.Id, Service: "s", Slots: int(last.Slots), State: state})
+		if last.AnnouncedShutdown {
+			endpoint.RestoreLeaving(endpointagent.Heartbeat{ID: last.Id, Service: "s", Slots: int(last.Slots), State: lifecycle.State(last.State)})
 		}
 	}
 	return endpoint
@@ -105,3 +105,32 @@
 	advance(time.Second)
 	qt.Assert(t, cluster.readyEndpoints(0), qt.Equals, 2)
 }
+
+// Guards against an endpoint that is kept out because its node was stopping, or the operator
+// had retired it, when the view was stored from which a new master restores its state. The
+// endpoint itself did not leave.
+func TestEndpointOfANodeThatWasStoppingReturnsAfterATakeover(t *testing.T) {
+	for _, registers := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			cluster := newTestCluster(2)
+			defer cluster.stopAfterCalls()
+			v := storedViewOf(2)
+			for i, state := range []lifecycle.State{lifecycle.Up, lifecycle.Draining} {
+				v.Endpoints = append(v.Endpoints, &meshpb.Endpoint{Id: fmt.Sprint("e", i), Service: "s", State: string(state), Node: fmt.Sprint("n", i), Inbound: fmt.Sprint("i", i)})
+			}
+			endpoint := cluster.restartSidecar(1, "restarted")
+			cluster.becomeMaster(2, v, nil, nil)
+			if registers {
+				node := cluster.nodes[1].currentAgent()
+				var last *meshpb.Endpoint
+				cluster.run(func() { last, _ = cluster.master.RegisterNode(node.State()) })
+				node.OnLastEndpoint(last)
+			}
+			advance(100 * time.Millisecond)
+			endpoint.RecordHeartbeat(lateHeartbeat(1))
+			advance(5 * time.Second)
+			qt.Assert(t, endpoint.Status().State, qt.Equals, lifecycle.Ready)
+			qt.Assert(t, cluster.readyEndpoints(0), qt.Equals, 2)
+		})
+	}
+}
