coordination: a late release does not free a lock that was acquired again

Nothing in a release tells on which side of the second acquisition it was sent, and no bound holds for its way: a frozen process, a member that forwards it, a link that holds bytes, a caller's own network.

A release frees the lock only if it is known to follow the last one: it came on the connection on which that acquisition was answered, or it carries the header X-Corkcove-Lock-Acquisition of the answer. Else it is answered 200 and the lock runs out by its time; a log message says so.

TestRequestStatusCodes keeps its expectation that a release after a reacquisition frees the lock; its requests now come on one connection, as those of a caller that keeps it.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -202,7 +202,8 @@
 	api.OnConfigAccepted = func(version uint64) {
 		c.trace(changetrace.KindConfig, "acknowledged", c.replica.MasterEpoch(), version)
 	}
-	c.serveClients(&http.Server{Handler: api, IdleTimeout: externalIdleTimeout, ReadHeaderTimeout: apiHeaderTimeout}, listener)
+	api.Log = c.log("controlapi")
+	c.serveClients(&http.Server{Handler: api, ConnContext: controlapi.ConnContext, IdleTimeout: externalIdleTimeout, ReadHeaderTimeout: apiHeaderTimeout}, listener)
 	return api
 }
 
--- a/cmd/corkcove/listeners.go
+++ b/cmd/corkcove/listeners.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"math"
 	"net"
 	"net/http"
@@ -139,10 +140,22 @@
 // limitConnections makes the server apply the limiter to its connections, which must come
 // from a listener of the limiter. The server's handler must be one of the limiter.
 func limitConnections(server *http.Server, limiter *listen.Limiter) *http.Server {
-	server.ConnState, server.ConnContext = limiter.ConnState, connstate.ConnContext
+	server.ConnState = limiter.ConnState
+	server.ConnContext = withConnection(server.ConnContext)
 	return server
 }
 
+// withConnection returns a hook for http.Server.ConnContext that provides a connection's
+// state as connstate.ConnContext does, after calling next, which may be nil.
+func withConnection(next func(context.Context, net.Conn) context.Context) func(context.Context, net.Conn) context.Context {
+	if next == nil {
+		return connstate.ConnContext
+	}
+	return func(ctx context.Context, c net.Conn) context.Context {
+		return connstate.ConnContext(next(ctx, c), c)
+	}
+}
+
 // channelListener is a net.Listener that receives already accepted connections from
 // another goroutine. It ends with the listener that these come from, not when another
 // one takes its place: its server continues to serve the connections that are still open.
--- a/internal/controlapi/forward.go
+++ b/internal/controlapi/forward.go
@@ -58,7 +58,7 @@
 func (r ownerResponse) write(w http.ResponseWriter) {
 	header := w.Header()
 	header["Date"] = nil
-	for _, key := range []string{"Content-Type", "Retry-After"} {
+	for _, key := range []string{"Content-Type", "Retry-After", acquisitionHeader} {
 		if value := r.header.Get(key); value != "" {
 			header.Set(key, value)
 		}
@@ -124,6 +124,9 @@
 	if err != nil {
 		return ownerResponse{}, errNotSent
 	}
+	if acquired := r.Header.Get(acquisitionHeader); acquired != "" {
+		req.Header.Set(acquisitionHeader, acquired)
+	}
 	resp, err := s.PeerTransport.RoundTrip(req)
 	if err != nil {
 		if !sent.Load() {
--- a/internal/controlapi/locks.go
+++ b/internal/controlapi/locks.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math"
+	"net/http"
 	"time"
 
 	"corkcove/internal/coordination"
@@ -45,9 +47,24 @@
 	grant, err := callWithRetry(s, r, s.Coordination.ShardOf(r.name), func(ctx context.Context) (coordination.LockGrant, error) {
 		return s.Coordination.AcquireLock(ctx, r.name, body.Owner, ttl)
 	})
+	if err == nil && grant.Reacquisitions > 0 {
+		r.responseHeader.Set(acquisitionHeader, acquisition{grant.FencingToken, grant.Reacquisitions}.String())
+	}
 	return lockResponse{grant.FencingToken}, err
 }
 
+// respondToAcquisition is the responder of acquireLock. It remembers on the connection
+// what the response tells of reacquisitions.
+func (s *CoreServer) respondToAcquisition(w http.ResponseWriter, r request, body []byte, resp response, retry func() response) {
+	s.forwardToOwner(w, r, body, resp, retry)
+	if acquired, ok := parseAcquisition(w.Header().Get(acquisitionHeader)); ok {
+		var input lockRequest
+		if err := json.Unmarshal(body, &input); err == nil {
+			connectionAcquisitionsOf(r).record(r.name, input.Owner, acquired)
+		}
+	}
+}
+
 func (s *CoreServer) renewLock(r request, body lockRequest) (lockResponse, error) {
 	ttl, ok := body.ttl()
 	if !ok {
@@ -59,9 +76,16 @@
 	return lockResponse{grant.FencingToken}, err
 }
 
+// releaseLock releases a lock. If it does not release a lock that was acquired again, the
+// response is the same: the caller does not hold the lock any more, but others get it only
+// once its time to live has ended.
 func (s *CoreServer) releaseLock(r request, body lockRequest) (empty, error) {
-	_, err := callWithRetry(s, r, s.Coordination.ShardOf(r.name), func(ctx context.Context) (coordination.LockGrant, error) {
-		return s.Coordination.ReleaseLock(ctx, r.name, body.Owner, body.FencingToken)
+	known := addPrecedingAcquisition(r, body)
+	outcome, err := callWithRetry(s, r, s.Coordination.ShardOf(r.name), func(ctx context.Context) (coordination.ReleaseOutcome, error) {
+		return s.Coordination.ReleaseLock(ctx, r.name, body.Owner, body.FencingToken, known.reacquisitions)
 	})
+	if err == nil && outcome == coordination.HeldUntilExpiry {
+		s.Log.Info("kept a released lock until its expiry", "lock", r.name, "token", body.FencingToken)
+	}
 	return empty{}, err
 }
--- a/internal/controlapi/mux.go
+++ b/internal/controlapi/mux.go
@@ -14,6 +14,8 @@
 	// is empty if the route does not end with a name.
 	name string
 	*http.Request
+	// responseHeader is the header of the response.
+	responseHeader http.Header
 }
 
 // handlerFunc handles a matched request.
@@ -62,7 +64,7 @@
 			continue
 		}
 		if route.method == r.Method {
-			route.handler(w, request{names.Escape(name), r})
+			route.handler(w, request{names.Escape(name), r, w.Header()})
 			return
 		}
 		unmatched = statusMethodNotAllowed
--- a/internal/controlapi/server.go
+++ b/internal/controlapi/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"corkcove/internal/coordination"
+	"corkcove/internal/logring"
 	"corkcove/internal/mailbox"
 	"corkcove/internal/replication"
 )
@@ -31,6 +32,8 @@
 	// OnConfigAccepted, if set, is called with the version of each configuration that
 	// this member accepts.
 	OnConfigAccepted func(version uint64)
+	// Log receives messages. The zero value discards them.
+	Log logring.Logger
 
 	configs configCache
 	bodies  bodyLimiter
@@ -43,7 +46,7 @@
 		Coordination: service, RetryTimeout: retryTimeout, RetryInterval: defaultRetryInterval,
 		bodies: newBodyLimiter(),
 	}
-	s.handle("POST /-/locks/{}", jsonHandler(s.forwardToOwner, s.acquireLock))
+	s.handle("POST /-/locks/{}", jsonHandler(s.respondToAcquisition, s.acquireLock))
 	s.handle("PUT /-/locks/{}", jsonHandler(s.forwardToOwner, s.renewLock))
 	s.handle("DELETE /-/locks/{}", jsonHandler(s.forwardToOwner, s.releaseLock))
 	s.handle("POST /-/numbers/{}", jsonHandler(s.forwardToOwner, s.nextNumber))
--- a/internal/controlapi/server_test.go
+++ b/internal/controlapi/server_test.go
@@ -1,6 +1,7 @@
 package controlapi
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http/httptest"
@@ -28,6 +29,8 @@
 type singleServer struct {
 	server  *CoreServer
 	mailbox *mailbox.Mailbox
+	// connection is the context of the connection on which do sends requests.
+	connection context.Context
 }
 
 func newSingleServer(t *testing.T) *singleServer {
@@ -43,13 +46,13 @@
 	qt.Assert(t, err, qt.IsNil)
 	service.Replica = replica
 	go mb.Run(50*time.Millisecond, replica.Tick)
-	return &singleServer{NewCoreServer(service, 650*time.Millisecond), mb}
+	return &singleServer{NewCoreServer(service, 650*time.Millisecond), mb, ConnContext(context.Background(), nil)}
 }
 
 // do sends a request and returns the status code and body of the response. It sets the
 // If-Match header unless ifMatch is empty.
 func (s *singleServer) do(method, path, body, ifMatch string) (int, string) {
-	httpRequest := httptest.NewRequest(method, path, strings.NewReader(body))
+	httpRequest := httptest.NewRequestWithContext(s.connection, method, path, strings.NewReader(body))
 	if ifMatch != "" {
 		httpRequest.Header.Set("If-Match", ifMatch)
 	}
@@ -58,6 +61,11 @@
 	return recorder.Code, recorder.Body.String()
 }
 
+// onNewConnection returns the same server with another connection for do.
+func (s *singleServer) onNewConnection() *singleServer {
+	return &singleServer{s.server, s.mailbox, ConnContext(context.Background(), nil)}
+}
+
 // configJSON returns a valid configuration with the given version and hostname.
 func configJSON(version, host string) string {
 	return `{"stamp":"` + version + `","resourceList":[{"variant":"bindingList","metadata":{"name":"b"},"specification":{"hostname":"` + host +
--- a/internal/coordination/locks_test.go
+++ b/internal/coordination/locks_test.go
@@ -40,3 +40,39 @@
 	d := restored.AcquireLock("l", "y", time.Second, 2900*time.Millisecond)
 	qt.Assert(t, d.Err, qt.Equals, ErrLockHeld)
 }
+
+// A release that its sender gave up, after which it acquired the lock again, may arrive
+// late. It must not free the lock, which another owner could acquire then; also not on a
+// member that restores a snapshot. A release that is known to follow must free it.
+func TestLateReleaseDoesNotFreeALockThatWasAcquiredAgain(t *testing.T) {
+	for name, fromDisk := range map[string]bool{"received": false, "from disk": true} {
+		owner, table := NewTable(20*time.Second), NewTable(20*time.Second)
+		first := apply(owner, owner.AcquireLock("l", "x", 3*time.Second, 0), 0)
+		second := apply(owner, owner.AcquireLock("l", "x", 3*time.Second, time.Second), time.Second)
+		qt.Assert(t, second.Result, qt.Equals, LockGrant{FencingToken: first.Result.FencingToken, Reacquisitions: 1})
+		apply(owner, owner.RenewLock("l", "x", first.Result.FencingToken, time.Second, time.Second), time.Second)
+		table.Restore(owner.Snapshot(time.Second), time.Second, fromDisk)
+
+		late := apply(table, table.ReleaseLock("l", "x", first.Result.FencingToken, 0), 2*time.Second)
+		qt.Assert(t, late.Result, qt.Equals, HeldUntilExpiry, qt.Commentf("%s", name))
+		early := table.AcquireLock("l", "y", time.Second, 3900*time.Millisecond)
+		qt.Assert(t, early.Err, qt.Equals, ErrLockHeld, qt.Commentf("%s", name))
+
+		following := apply(table, table.ReleaseLock("l", "x", first.Result.FencingToken, second.Result.Reacquisitions), 2*time.Second)
+		qt.Assert(t, following.Result, qt.Equals, Released, qt.Commentf("%s", name))
+		next := table.AcquireLock("l", "y", time.Second, 2*time.Second)
+		qt.Assert(t, next.Err, qt.IsNil)
+	}
+}
+
+// Guards against a reacquisition that a later fencing token inherits: releases of that
+// token would not free the lock.
+func TestNewFencingTokenHasNoReacquisitions(t *testing.T) {
+	table := NewTable(20 * time.Second)
+	apply(table, table.AcquireLock("l", "x", time.Second, 0), 0)
+	apply(table, table.AcquireLock("l", "x", time.Second, 0), 0)
+	after := 2 * time.Second
+	next := apply(table, table.AcquireLock("l", "x", time.Second, after), after)
+	qt.Assert(t, next.Result, qt.Equals, LockGrant{FencingToken: 2})
+	qt.Assert(t, table.ReleaseLock("l", "x", 2, 0).Result, qt.Equals, Released)
+}
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -110,9 +110,9 @@
 
 // ReleaseLock runs Table.ReleaseLock on the shard of the lock. See Transact for its
 // errors.
-func (s *Service) ReleaseLock(ctx context.Context, name, owner string, fencingToken uint64) (LockGrant, error) {
-	return Transact(ctx, s, s.ShardOf(name), func(t *Table, _ time.Duration) Decision[LockGrant] {
-		return t.ReleaseLock(name, owner, fencingToken)
+func (s *Service) ReleaseLock(ctx context.Context, name, owner string, fencingToken, reacquisitions uint64) (ReleaseOutcome, error) {
+	return Transact(ctx, s, s.ShardOf(name), func(t *Table, _ time.Duration) Decision[ReleaseOutcome] {
+		return t.ReleaseLock(name, owner, fencingToken, reacquisitions)
 	})
 }
 
