controlapi: do not execute a request whose caller has closed its connection

Cause: a request was executed or forwarded whatever had become of its caller; http.Server cancels its context only some time after it was read, and a request that waited in the mailbox of a member that stood still ran in any case.

Change: coordination.Service.GaveUp, which asks the kernel whether the peer has closed the connection, is consulted by Transact on the mailbox just before the decision, before each retry, and before each forwarding. A forwarder whose caller leaves closes its connection to the owner, so it holds there as well. Locks, numbers, puts, configurations, pins and user states all pass it. It makes late changes rare and is no proof of order: a lock does not rely on it.

--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -13,6 +13,7 @@
 
 	"corkcove/internal/changetrace"
 	"corkcove/internal/clustercontroller"
+	"corkcove/internal/connstate"
 	"corkcove/internal/controlapi"
 	"corkcove/internal/coordination"
 	"corkcove/internal/hotkeys"
@@ -135,6 +136,7 @@
 	box := mailbox.New()
 	clients := rpc.NewClients(&http.Client{Transport: rpc.NewProbingTransport(300*time.Millisecond, 2*time.Second, 90*time.Second, 8)})
 	c := &coreNode{process: p, mailbox: box, coordination: coordination.NewService(box, shardCount), clients: clients}
+	c.coordination.CallerGone = func(ctx context.Context) bool { return connstate.PeerClosed(connstate.FromContext(ctx)) }
 	c.master = clustercontroller.NewMaster(c.masterOptions(), mailbox.New(), clients, c)
 	return c
 }
--- a/internal/controlapi/forward.go
+++ b/internal/controlapi/forward.go
@@ -85,10 +85,14 @@
 	wait, _ := parseWatchWait(r.URL.Query())
 	timeout := forwardTimeout + wait
 	for hops := 0; resp.status == statusNotOwner && hops < maxForwardHops; {
+		if s.Coordination.GaveUp(r.Context()) {
+			errorResponse(errUnavailable).write(w)
+			return
+		}
 		ownerResp, err := s.sendToOwner(r, resp.location, body, timeout)
 		switch {
 		case errors.Is(err, errNotSent):
-			if time.Now().After(deadline) || r.Context().Err() != nil {
+			if time.Now().After(deadline) {
 				errorResponse(errUnavailable).write(w)
 				return
 			}
--- a/internal/controlapi/forward_test.go
+++ b/internal/controlapi/forward_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"corkcove/internal/coordination"
 )
 
 // fakeTransport takes the place of the other members. The nth request gets the nth
@@ -110,7 +112,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			transport := &fakeTransport{responses: row.responses}
-			server := &CoreServer{RetryTimeout: 200 * time.Millisecond, RetryInterval: 20 * time.Millisecond, PeerTransport: transport}
+			server := &CoreServer{Coordination: &coordination.Service{}, RetryTimeout: 200 * time.Millisecond, RetryInterval: 20 * time.Millisecond, PeerTransport: transport}
 			server.handle("POST /-/numbers/{}", jsonHandler(server.forwardToOwner, func(r request, _ empty) (empty, error) {
 				return empty{}, &notOwnerError{location: "http://o1:1" + r.RequestURI}
 			}))
@@ -179,7 +181,7 @@
 					return client, nil
 				}}
 				defer transport.CloseIdleConnections()
-				server := &CoreServer{RetryTimeout: 200 * time.Millisecond, RetryInterval: 20 * time.Millisecond, PeerTransport: transport}
+				server := &CoreServer{Coordination: &coordination.Service{}, RetryTimeout: 200 * time.Millisecond, RetryInterval: 20 * time.Millisecond, PeerTransport: transport}
 				server.handle(method+" /-/x/{}", jsonHandler(server.forwardToOwner, func(r request, _ empty) (empty, error) {
 					return empty{}, &notOwnerError{location: "http://o1:1" + r.RequestURI}
 				}))
--- a/internal/controlapi/server.go
+++ b/internal/controlapi/server.go
@@ -62,8 +62,8 @@
 // callWithRetry repeats call while it fails with replication.ErrNotOwner or
 // replication.ErrUnavailable, which report that no change was made. The error is a
 // *notOwnerError if another member is known to own the shard, and errUnavailable if
-// RetryTimeout elapses or the request's context ends first. All other errors of call
-// are returned unchanged.
+// RetryTimeout elapses or the caller gives up first. All other errors of call are returned
+// unchanged.
 func callWithRetry[R any](s *CoreServer, r request, shard int, call func(context.Context) (R, error)) (R, error) {
 	ctx := r.Context()
 	deadline := time.Now().Add(s.RetryTimeout)
@@ -77,7 +77,7 @@
 		case !errors.Is(err, replication.ErrUnavailable):
 			return result, err
 		}
-		if time.Now().After(deadline) || ctx.Err() != nil {
+		if time.Now().After(deadline) || s.Coordination.GaveUp(ctx) {
 			return result, errUnavailable
 		}
 		sleep(ctx, s.RetryInterval)
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -29,6 +29,10 @@
 	Replica *replication.Replica
 	// ShardCount is the number of shards, including ConfigShard. It is at least 2.
 	ShardCount int
+	// CallerGone reports whether the caller of the request with the context has given up
+	// waiting for its result. It must be safe for concurrent use and must not block. Nil
+	// means that callers are always assumed to wait.
+	CallerGone func(context.Context) bool
 
 	// watchers holds the waiting watchers by shard. It is accessed only on the
 	// mailbox's goroutine.
@@ -62,8 +66,15 @@
 // replication.ErrNotOwner or replication.ErrUnavailable if no change was made, and
 // replication.ErrOutcomeUnknown if a change may have been made and may still take
 // effect, also if ctx ends or the mailbox is closed first.
+//
+// It does not run decide once the caller has given up. The caller may have acted on the
+// assumption that the request failed, and an outdated request would undo that.
 func Transact[R any](ctx context.Context, s *Service, shard int, decide func(t *Table, now time.Duration) Decision[R]) (R, error) {
 	response, ok := mailbox.CallAsync(ctx, s.Mailbox, func(reply func(result[R])) {
+		if s.GaveUp(ctx) {
+			reply(result[R]{err: replication.ErrUnavailable})
+			return
+		}
 		transactOnMailbox(s, shard, decide, func(value R, err error) { reply(result[R]{value, err}) })
 	})
 	if !ok {
@@ -72,6 +83,11 @@
 	return response.value, response.err
 }
 
+// GaveUp reports whether ctx has ended or the request's caller has given up.
+func (s *Service) GaveUp(ctx context.Context) bool {
+	return ctx.Err() != nil || s.CallerGone != nil && s.CallerGone(ctx)
+}
+
 // transactOnMailbox is Transact for callers on the mailbox's goroutine. It does not
 // block, and reply is called on the same goroutine.
 func transactOnMailbox[R any](s *Service, shard int, decide func(*Table, time.Duration) Decision[R], reply func(R, error)) {
