replication: a member that grants a lease ends its own pre-vote

What callers could see: two owners of a shard that both hold a lease, so stale reads, numbers out of order and two masters.

Cause: a candidate that asks for pre-votes keeps its vote for the previous owner, so a heartbeat or entries of that owner that came meanwhile got a lease as from any follower. If the pre-vote was then won, the member voted for itself and set the lease that it had just granted to zero, while the owner relied on it for another 0.81 s. That takes an owner that is silent for a lease and heard again within the round trip of a pre-vote: one that thaws, or a link that delivers what it held.

Change: granting a lease to the owner ends the pre-vote.

--- a/internal/replication/election_test.go
+++ b/internal/replication/election_test.go
@@ -137,3 +137,51 @@
 		qt.Check(t, epochs[0], qt.Equals, epochs[1], qt.Commentf("seed %d", seed))
 	}
 }
+
+// Guards against two owners that both hold a lease: a member won a pre-vote, and voted for
+// itself although it had granted the previous owner a lease since the pre-vote began. The
+// owner's heartbeat arrives at each moment around the election, in steps of half a
+// millisecond.
+func TestLeaseGrantedDuringPreVoteIsHonored(t *testing.T) {
+	const shard, step, window, lease = 1, 500 * time.Microsecond, 60 * time.Millisecond, 900 * time.Millisecond
+	isolated := func(seed int64) *simCluster {
+		cluster := newSimCluster(t, seed, 3)
+		cluster.runUntil(4 * time.Second)
+		cluster.setIsolated("m0", true)
+		return cluster
+	}
+	successor := func(cluster *simCluster) string {
+		for _, address := range []string{"m1", "m2"} {
+			if _, owns := cluster.nodes[address].replica.OwnedEpoch(shard); owns {
+				return address
+			}
+		}
+		return ""
+	}
+	for seed := int64(1); seed <= 5; seed++ {
+		cluster := isolated(seed)
+		epoch, owned := cluster.nodes["m0"].replica.OwnedEpoch(shard)
+		qt.Assert(t, owned, qt.IsTrue)
+		for successor(cluster) == "" {
+			cluster.runUntil(cluster.now + step)
+		}
+		elected, address := cluster.now, successor(cluster)
+		granted := 0
+		for at := elected - window; at < elected; at += step {
+			cluster := isolated(seed)
+			cluster.runUntil(at)
+			replica, owner := cluster.nodes[address].replica, cluster.nodes["m0"].replica
+			response := replica.HandleRenewLeases(&meshpb.RenewLeasesRequest{
+				Header:     &meshpb.SenderHeader{From: owner.Self(), To: replica.Self().Id, Membership: replica.Membership().Version},
+				Watermarks: []*meshpb.Watermark{{Shard: shard, Epoch: epoch}},
+			})
+			if len(response.Granted) == 0 {
+				continue
+			}
+			granted++
+			cluster.runUntil(at + lease*9/10)
+			qt.Check(t, successor(cluster), qt.Equals, "", qt.Commentf("seed %d: a lease granted %v before the election is in force", seed, elected-at))
+		}
+		qt.Check(t, granted > 0, qt.IsTrue)
+	}
+}
--- a/internal/replication/lease.go
+++ b/internal/replication/lease.go
@@ -8,10 +8,17 @@
 // grantLease extends the lease that this member grants on the shard to LeaseDuration
 // from now. Until it expires, no other candidate gets this member's vote. An owner
 // grants no lease to itself.
+//
+// A pre-vote of this member ends: if it were won, this member would vote for itself while
+// the owner relies on the lease.
 func (r *Replica) grantLease(s *shard) {
-	if s.vote.candidate != r.self.Id {
-		s.lease.grantedUntil = max(s.lease.grantedUntil, r.now()+r.options.LeaseDuration)
+	if s.vote.candidate == r.self.Id {
+		return
+	}
+	if s.role == candidate {
+		r.stepDown(s, s.election.epoch, "granted a lease to the owner")
 	}
+	s.lease.grantedUntil = max(s.lease.grantedUntil, r.now()+r.options.LeaseDuration)
 }
 
 // recordLease records, at the owner, that the peer granted a lease on the shard in its
