--- a/cmd/corkcove/core.go
+++ b/cmd/corkcove/core.go
@@ -79,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	listeners, err := listenAll(p.options.InternalAddr(), p.options.Network.Listen.Control)
+	listeners, err := listenAll(p.options.BindAddrs(p.options.InternalAddr(), p.options.Network.Listen.Control)...)
 	if err != nil {
 		return err
 	}
--- a/cmd/corkcove/edge.go
+++ b/cmd/corkcove/edge.go
@@ -32,7 +32,7 @@
 // the endpoints directly, without sidecars in front of them.
 func runEdge(p *process) error {
 	options := p.options
-	listeners, err := listenAll(options.InternalAddr(), options.Network.Listen.Ingress, options.Network.Listen.Ready)
+	listeners, err := listenAll(options.BindAddrs(options.InternalAddr(), options.Network.Listen.Ingress, options.Network.Listen.Ready)...)
 	if err != nil {
 		return err
 	}
--- a/cmd/corkcove/sidecar.go
+++ b/cmd/corkcove/sidecar.go
@@ -47,7 +47,7 @@
 
 func listenSidecar(options settings.Options) (sidecarListeners, error) {
 	addresses := options.Network.Listen
-	l, err := listenAll(options.InternalAddr(), addresses.Inbound, addresses.Outbound, addresses.Ready, addresses.Control)
+	l, err := listenAll(options.BindAddrs(options.InternalAddr(), addresses.Inbound, addresses.Outbound, addresses.Ready, addresses.Control)...)
 	if err != nil {
 		return sidecarListeners{}, err
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,6 +60,9 @@
 	ServedRoles []string `toml:"servedRoles"`
 	// IP is the address at which other processes reach this one.
 	IP string `toml:"ip"`
+	// BindIP is the address on which the process listens instead of IP, if IP belongs to
+	// something in front of it that passes connections on, such as address translation.
+	BindIP string `toml:"bindIp"`
 	// ZoneName is the zone of the machine; nodes prefer endpoints in their own zone.
 	ZoneName string `toml:"siteName"`
 	// RegionName is the region of the machine.
@@ -284,6 +287,25 @@
 	return joinHostPort(o.Self.IP, o.Network.internalPort())
 }
 
+// BindAddr returns the address (IP:port) on which the process listens so that others reach
+// it at addr. It differs from addr only if addr is on Self.IP and Self.BindIP is set.
+func (o Options) BindAddr(addr string) string {
+	parsed, err := netip.ParseAddrPort(addr)
+	if err != nil || o.Self.BindIP == "" || parsed.Addr().String() != o.Self.IP {
+		return addr
+	}
+	return joinHostPort(o.Self.BindIP, int(parsed.Port()))
+}
+
+// BindAddrs returns BindAddr of each address.
+func (o Options) BindAddrs(addrs ...string) []string {
+	bound := make([]string, len(addrs))
+	for i, addr := range addrs {
+		bound[i] = o.BindAddr(addr)
+	}
+	return bound
+}
+
 // SeedInternalAddrs returns the addresses (IP:port) at which the seeds serve calls
 // from other processes. It skips seeds that cannot be parsed.
 func (o Options) SeedInternalAddrs() []string {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -88,3 +88,15 @@
 		}
 	}
 }
+
+// Guards against a process that listens on an address of something in front of it, or that
+// moves an address which is not its own.
+func TestBindIPReplacesOwnAddressOnly(t *testing.T) {
+	options, err := Parse([]byte(strings.Replace(validSettings, "[self]", "[self]\nbindIp = \"127.0.0.9\"", 1)), "core")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, options.BindAddrs(options.InternalAddr(), "127.0.0.1:1", "127.0.0.2:1", ""), qt.DeepEquals,
+		[]string{"127.0.0.9:7600", "127.0.0.9:1", "127.0.0.2:1", ""})
+	qt.Assert(t, Options{Self: Self{IP: "127.0.0.1"}}.BindAddr("127.0.0.1:1"), qt.Equals, "127.0.0.1:1")
+	_, err = Parse([]byte(strings.Replace(validSettings, "[self]", "[self]\nbindIp = \"x\"", 1)), "core")
+	qt.Assert(t, err, qt.ErrorMatches, "(?s).*self.bindIp.*")
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -32,6 +32,9 @@
 	if _, err := netip.ParseAddr(s.IP); err != nil {
 		found.add("self.ip: %q is not an IP address", s.IP)
 	}
+	if _, err := netip.ParseAddr(s.BindIP); s.BindIP != "" && err != nil {
+		found.add("self.bindIp: %q is not an IP address", s.BindIP)
+	}
 	if m := s.Limits.MemoryMB; m < 0 || m > 0 && m < minMemoryMB {
 		found.add("self.limitSet.memoryMb: %d must be at least %d", m, minMemoryMB)
 	}
