soak: callers write and read keys; STALE, ORDER and MIXED are judged

Puts are unique values to four keys of one group; each checker has histories that keep and that break its rule.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,6 +24,12 @@
 	maxParallel            = 16
 )
 
+// Numbers and keys of each run.
+const (
+	numberCount = 2
+	keyCount    = 4
+)
+
 // Exit codes.
 const (
 	exitViolations = 1
@@ -127,7 +133,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Options{
 		Binary: binary, Directory: directory, Seed: seed, Members: o.members, Faults: o.duration, Kinds: kinds, Relays: o.relays, Verbose: o.verbose,
-		Locks: o.locks, Numbers: 2, Callers: o.callers,
+		Locks: o.locks, Numbers: numberCount, Keys: keyCount, Callers: o.callers,
 	})
 	if err != nil {
 		return report, err
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -28,28 +28,37 @@
 	keepAliveShare = 0.6
 )
 
-// caller is an application that competes for locks and draws numbers. It makes one call
+// caller is an application that competes for locks, draws numbers, and writes and
+// reads keys. It makes one call
 // at a time.
 type caller struct {
 	client  *client
 	cluster *cluster
 	random  *rand.Rand
-	// locks and numbers are the names that the caller uses.
-	locks, numbers []string
+	// locks, numbers and keys are the names that the caller uses.
+	locks, numbers, keys []string
+	// putCount numbers the values that the caller writes, so that each is unique.
+	putCount int
 }
 
-func newCaller(i int, seed uint64, c *cluster, history *History, start time.Time, locks, numbers []string) *caller {
+func newCaller(i int, seed uint64, c *cluster, history *History, start time.Time, locks, numbers, keys []string) *caller {
 	random := rand.New(rand.NewPCG(seed, uint64(i)+1))
 	name := fmt.Sprint("caller-", i)
-	return &caller{newClient(name, random.Float64() < keepAliveShare, history, start), c, random, locks, numbers}
+	return &caller{newClient(name, random.Float64() < keepAliveShare, history, start), c, random, locks, numbers, keys, 0}
 }
 
 // run makes calls until ctx ends.
 func (c *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if c.random.IntN(4) == 0 {
+		switch c.random.IntN(8) {
+		case 0, 1:
 			c.try(ctx, Attempt{Operation: Number, Name: pick(c.random, c.numbers)})
-		} else {
+		case 2:
+			c.putCount++
+			c.try(ctx, Attempt{Operation: Put, Name: pick(c.random, c.keys), Payload: fmt.Sprint(c.client.caller, "/", c.putCount)})
+		case 3, 4:
+			c.try(ctx, Attempt{Operation: Get, Name: pick(c.random, c.keys)})
+		default:
 			c.hold(ctx, pick(c.random, c.locks))
 		}
 		c.pause(ctx)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -15,8 +15,12 @@
 	// RuleOneHolder: at any moment at most one caller counts itself holder of a lock, and
 	// fencing tokens rise from holder to holder.
 	RuleOneHolder Rule = "ONE"
-	// RuleOrder: numbers are given once, and rise.
+	// RuleOrder: numbers and revisions are given once, and rise.
 	RuleOrder Rule = "ORDER"
+	// RuleStale: a read shows no revision below that of a put answered before it was sent.
+	RuleStale Rule = "STALE"
+	// RuleMixed: a revision of a key has one value, and a value one revision.
+	RuleMixed Rule = "MIXED"
 	// RuleRecover: calls succeed again once the faults have ended.
 	RuleRecover Rule = "RECOVER"
 )
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -66,3 +66,39 @@
 	qt.Assert(t, CheckRecovery(attempts, at(20)), qt.HasLen, 1)
 	qt.Assert(t, CheckRecovery(attempts, at(1)), qt.HasLen, 0)
 }
+
+func cellAttempt(operation Operation, payload string, revision uint64, sent, answered int) Attempt {
+	a := Attempt{Operation: operation, Name: "g.k", Payload: payload, Value: revision, SentAt: at(sent), AnsweredAt: at(answered)}
+	if answered > 0 {
+		a.Status = statusOK
+	}
+	return a
+}
+
+func TestCellHistoriesAreJudgedByWhatCallersSaw(t *testing.T) {
+	missing := Attempt{Operation: Get, Name: "g.k", SentAt: at(5), AnsweredAt: at(6), Status: statusNotFound}
+	for name, row := range map[string]struct {
+		attempts []Attempt
+		broken   Rule
+	}{
+		"read after a put":              {[]Attempt{cellAttempt(Put, "v", 1, 1, 2), cellAttempt(Get, "v", 1, 3, 4)}, ""},
+		"read beside a put":             {[]Attempt{cellAttempt(Put, "v", 1, 1, 2), cellAttempt(Put, "w", 2, 3, 8), cellAttempt(Get, "v", 1, 4, 9)}, ""},
+		"put without an answer shows":   {[]Attempt{cellAttempt(Put, "v", 0, 1, 0), cellAttempt(Get, "v", 1, 3, 4)}, ""},
+		"repeated put keeps its place":  {[]Attempt{cellAttempt(Put, "v", 0, 1, 0), cellAttempt(Put, "w", 2, 2, 3), cellAttempt(Put, "v", 1, 4, 5)}, ""},
+		"missing before any put":        {[]Attempt{missing}, ""},
+		"stale read":                    {[]Attempt{cellAttempt(Put, "v", 1, 1, 2), cellAttempt(Put, "w", 2, 3, 4), cellAttempt(Get, "v", 1, 5, 6)}, RuleStale},
+		"missing after a put":           {[]Attempt{cellAttempt(Put, "v", 1, 1, 2), missing}, RuleStale},
+		"read that goes back":           {[]Attempt{cellAttempt(Get, "w", 2, 1, 2), cellAttempt(Get, "v", 1, 3, 4)}, RuleStale},
+		"revision that is not above":    {[]Attempt{cellAttempt(Put, "v", 2, 1, 2), cellAttempt(Put, "w", 1, 3, 4)}, RuleOrder},
+		"one revision with two values":  {[]Attempt{cellAttempt(Put, "v", 1, 1, 4), cellAttempt(Put, "w", 1, 2, 3)}, RuleMixed},
+		"one value under two revisions": {[]Attempt{cellAttempt(Get, "v", 1, 1, 2), cellAttempt(Get, "v", 2, 3, 4)}, RuleMixed},
+		"refused reads tell nothing":    {[]Attempt{cellAttempt(Put, "v", 1, 1, 2), {Operation: Get, Name: "g.k", SentAt: at(5), AnsweredAt: at(6), Status: 503}}, ""},
+	} {
+		violations := CheckCells(row.attempts)
+		if row.broken == "" {
+			qt.Check(t, violations, qt.HasLen, 0, qt.Commentf("%s", name))
+			continue
+		}
+		qt.Check(t, len(violations) > 0 && violations[0].Rule == row.broken, qt.IsTrue, qt.Commentf("%s: %v", name, violations))
+	}
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -43,12 +43,31 @@
 	Owner        string  `json:"holderId,omitempty"`
 	TTLSeconds   float64 `json:"holdS,omitempty"`
 	FencingToken uint64  `json:"fenceNo,omitempty"`
+	Payload      string  `json:"payload,omitempty"`
 }
 
 // answerBody is the body of a successful answer.
 type answerBody struct {
 	FencingToken uint64 `json:"fenceNo"`
-	Value        uint64 `json:"payload"`
+	Revision     uint64 `json:"revision"`
+	// Payload is a number or the text of a cell.
+	Payload json.RawMessage `json:"payload"`
+}
+
+// addTo completes a successful attempt.
+func (b answerBody) addTo(a *Attempt) error {
+	switch a.Operation {
+	case Acquire:
+		a.Token = b.FencingToken
+	case Number:
+		return json.Unmarshal(b.Payload, &a.Value)
+	case Put:
+		a.Value = b.Revision
+	case Get:
+		a.Value = b.Revision
+		return json.Unmarshal(b.Payload, &a.Payload)
+	}
+	return nil
 }
 
 // methods maps each operation to its method and path.
@@ -57,15 +76,20 @@
 	Renew:   {http.MethodPut, "/-/locks/"},
 	Release: {http.MethodDelete, "/-/locks/"},
 	Number:  {http.MethodPost, "/-/numbers/"},
+	Put:     {http.MethodPut, "/-/cells/"},
+	Get:     {http.MethodGet, "/-/cells/"},
 }
 
 // send sends an attempt to a member, completes it with the answer, and records it. ttl
 // and token are those of the attempt.
 func (c *client) send(ctx context.Context, target *member, a Attempt) Attempt {
 	a.Caller, a.Member = c.caller, target.name
-	body := requestBody{Owner: c.caller, TTLSeconds: a.TTL.Seconds(), FencingToken: a.Token}
-	if a.Operation == Number {
-		body = requestBody{}
+	var body requestBody
+	switch a.Operation {
+	case Acquire, Renew, Release:
+		body = requestBody{Owner: c.caller, TTLSeconds: a.TTL.Seconds(), FencingToken: a.Token}
+	case Put:
+		body = requestBody{Payload: a.Payload}
 	}
 	// A struct of strings and numbers is always encodable.
 	data, _ := json.Marshal(body)
@@ -78,6 +102,9 @@
 
 // exchange sends the request and adds the answer to the attempt.
 func (c *client) exchange(ctx context.Context, a Attempt, method, url string, body []byte) Attempt {
+	if method == http.MethodGet {
+		body = nil
+	}
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return a
@@ -95,11 +122,12 @@
 	}
 	a.AnsweredAt, a.Status = time.Since(c.start), response.StatusCode
 	var answer answerBody
-	if a.Status == statusOK && json.Unmarshal(data, &answer) == nil {
-		a.Value = answer.Value
-		if a.Operation == Acquire {
-			a.Token = answer.FencingToken
-		}
+	if a.Status != statusOK {
+		return a
+	}
+	if json.Unmarshal(data, &answer) != nil || answer.addTo(&a) != nil {
+		// An answer that cannot be read counts as none.
+		a.AnsweredAt, a.Status = 0, 0
 	}
 	return a
 }
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -17,6 +17,8 @@
 	Renew   Operation = "renew"
 	Release Operation = "release"
 	Number  Operation = "number"
+	Put     Operation = "put"
+	Get     Operation = "get"
 )
 
 // Attempt is one transmission of a call to one member. Times are durations since the
@@ -36,12 +38,18 @@
 	// Token is the fencing token in a successful response to Acquire, and the one in the
 	// request otherwise.
 	Token uint64 `json:"token,omitempty"`
-	// Value is the number in a successful response to Number.
+	// Value is the number in a successful response to Number, and the revision in one to
+	// Put and Get. It is 0 for a key without a value.
 	Value uint64 `json:"value,omitempty"`
+	// Payload is what Put writes or Get has read.
+	Payload string `json:"payload,omitempty"`
 }
 
-// Succeeded reports whether the attempt was answered with success.
-func (a Attempt) Succeeded() bool { return a.AnsweredAt > 0 && a.Status == statusOK }
+// Succeeded reports whether the attempt was answered with success. That a key has no
+// value is a successful answer to Get.
+func (a Attempt) Succeeded() bool {
+	return a.AnsweredAt > 0 && (a.Status == statusOK || a.Operation == Get && a.Status == statusNotFound)
+}
 
 // String describes the attempt in one line.
 func (a Attempt) String() string {
@@ -49,12 +57,15 @@
 	if a.AnsweredAt > 0 {
 		answer = fmt.Sprintf("%d at %.3f s", a.Status, a.AnsweredAt.Seconds())
 	}
-	return fmt.Sprintf("%.3f s: %s sends %s %s to %s (token %d, time to live %.2f s, value %d): %s",
-		a.SentAt.Seconds(), a.Caller, a.Operation, a.Name, a.Member, a.Token, a.TTL.Seconds(), a.Value, answer)
+	return fmt.Sprintf("%.3f s: %s sends %s %s to %s (token %d, time to live %.2f s, value %d %s): %s",
+		a.SentAt.Seconds(), a.Caller, a.Operation, a.Name, a.Member, a.Token, a.TTL.Seconds(), a.Value, a.Payload, answer)
 }
 
-// statusOK is the HTTP status of successful calls.
-const statusOK = 200
+// HTTP statuses that answer a call.
+const (
+	statusOK       = 200
+	statusNotFound = 404
+)
 
 // History collects attempts. It is safe for concurrent use.
 type History struct {
@@ -78,8 +89,8 @@
 	return sorted
 }
 
-// byName returns the attempts of the given operations, in order, by the name of the lock
-// or number.
+// byName returns the attempts of the given operations, in order, by the name of the lock,
+// number or key.
 func byName(attempts []Attempt, operations ...Operation) map[string][]Attempt {
 	grouped := map[string][]Attempt{}
 	for _, a := range attempts {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -38,8 +38,9 @@
 	Relays bool
 	// Verbose makes the members write all log messages. Old releases lack the flag.
 	Verbose bool
-	// Locks, Numbers and Callers are how many there are of each.
-	Locks, Numbers, Callers int
+	// Locks, Numbers, Keys and Callers are how many there are of each. All keys are in one
+	// group.
+	Locks, Numbers, Keys, Callers int
 }
 
 // Event is what a fault did.
@@ -82,7 +83,7 @@
 			report.Succeeded++
 		}
 	}
-	report.Violations = slices.Concat(CheckLocks(attempts), CheckNumbers(attempts), CheckRecovery(attempts, faultsEnd))
+	report.Violations = slices.Concat(CheckLocks(attempts), CheckNumbers(attempts), CheckCells(attempts), CheckRecovery(attempts, faultsEnd))
 	return report, errors.Join(r.errs...)
 }
 
@@ -104,7 +105,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for i := range r.options.Callers {
-		c := newCaller(i, r.options.Seed, r.cluster, r.history, r.start, names("lock", r.options.Locks), names("number", r.options.Numbers))
+		c := newCaller(i, r.options.Seed, r.cluster, r.history, r.start, names("lock", r.options.Locks), names("number", r.options.Numbers), names("group.key", r.options.Keys))
 		callers.Go(func() { c.run(ctx) })
 	}
 	random := rand.New(rand.NewPCG(r.options.Seed, 0))
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -27,7 +27,7 @@
 	for _, members := range []int{3, 5} {
 		report, err := Run(context.Background(), Options{
 			Binary: binary, Directory: t.TempDir(), Seed: 1, Members: members, Faults: 15 * time.Second,
-			Kinds: FaultKinds(), Relays: true, Verbose: true, Locks: 6, Numbers: 2, Callers: 20,
+			Kinds: FaultKinds(), Relays: true, Verbose: true, Locks: 6, Numbers: 2, Keys: 4, Callers: 20,
 		})
 		qt.Assert(t, err, qt.IsNil)
 		t.Logf("%d members: %d faults, %d of %d attempts succeeded", members, len(report.Events), report.Succeeded, report.Attempts)
