core: a late user state does not undo a later one

A state set that got no answer and was executed after a later one put the node back into the older state, though the operator had been told that the later one was stored.

Change: the user states have a version that rises with each change, members report it in their status, and state set names the version that the command has read. A request that names another one is refused with a reason, unless the node already has the state, as after a repetition. A command of the previous release, and a master of it, name no version and work as before.

Evidence: TestLateUserStateDoesNotUndoALaterOne fails with the comparison taken out, and passes with it.

--- a/cmd/corkcove/core_control.go
+++ b/cmd/corkcove/core_control.go
@@ -49,6 +49,7 @@
 func (c *coreNode) addReplicaStatus(response *meshpb.StatusResponse) {
 	response.Membership, response.Shards = c.replica.Membership(), c.replica.ShardStatuses()
 	response.DiskSound, response.Member = c.replica.DiskHealthy(), !c.replica.IsLearner()
+	response.UserStates = proto.Uint64(userStatesVersion(c.replica.StateMachine(controllerShard)))
 	if master, ok := c.replica.Owner(controllerShard); ok {
 		response.MasterAddr = master.Addr
 	}
@@ -87,7 +88,10 @@
 	if !known {
 		return &meshpb.SetStateResponse{Why: "no node " + strconv.Quote(request.Node) + " is known"}, nil
 	}
-	userStates, err := c.storeUserState(ctx, request.Node, lifecycle.State(request.State))
+	userStates, err := c.storeUserState(ctx, request)
+	if errors.Is(err, errUserStatesChanged) {
+		return &meshpb.SetStateResponse{Why: err.Error()}, nil
+	}
 	if err != nil {
 		return &meshpb.SetStateResponse{Why: "could not confirm that the state was stored; retry the command"}, nil
 	}
@@ -95,22 +99,35 @@
 	return &meshpb.SetStateResponse{Ok: true}, nil
 }
 
-// storeUserState stores the user state of a node and returns all user states. After
-// an error the change may or may not have been committed.
-func (c *coreNode) storeUserState(ctx context.Context, node string, state lifecycle.State) (map[string]string, error) {
+// errUserStatesChanged reports that the user states are not at the version that the
+// operator expected. Nothing was changed.
+var errUserStatesChanged = errors.New("the user states have changed since the command read them; run it again")
+
+// storeUserState stores the user state of a node and returns all user states. After an
+// error other than errUserStatesChanged the change may or may not have been committed.
+//
+// An outdated request must not undo a later one. It is refused because its expected
+// version has passed, unless the node already has the state.
+func (c *coreNode) storeUserState(ctx context.Context, request *meshpb.SetStateRequest) (map[string]string, error) {
 	type decision = coordination.Decision[map[string]string]
 	return coordination.Transact(ctx, c.coordination, controllerShard, func(table *coordination.Table, _ time.Duration) decision {
-		userStates := storedUserStates(table)
-		if state == lifecycle.Up {
-			delete(userStates, node)
+		userStates, version := storedUserStates(table), userStatesVersion(table)
+		if userStates[request.Node] == storedUserState(request.State) {
+			return decision{Result: userStates, AlreadyApplied: true}
+		}
+		if request.Expected != nil && *request.Expected != version {
+			return decision{Err: errUserStatesChanged}
+		}
+		if request.State == string(lifecycle.Up) {
+			delete(userStates, request.Node)
 		} else {
-			userStates[node] = string(state)
+			userStates[request.Node] = request.State
 		}
 		data, err := proto.Marshal(&meshpb.UserStates{States: userStates})
 		if err != nil {
 			return decision{Err: err}
 		}
-		return decision{Change: &meshpb.Change{Blob: &meshpb.Blob{Name: userStatesBlob, Data: data}}, Result: userStates}
+		return decision{Change: &meshpb.Change{Blob: &meshpb.Blob{Name: userStatesBlob, Data: data, Version: version + 1}}, Result: userStates}
 	})
 }
 
--- a/cmd/corkcove/core_stored.go
+++ b/cmd/corkcove/core_stored.go
@@ -10,6 +10,7 @@
 	"corkcove/internal/clustercontroller"
 	"corkcove/internal/controlapi"
 	"corkcove/internal/coordination"
+	"corkcove/internal/lifecycle"
 	"corkcove/internal/mailbox"
 	"corkcove/internal/replication"
 	"corkcove/internal/rpc"
@@ -109,3 +110,17 @@
 	}
 	return stored.States
 }
+
+// userStatesVersion returns the version of the stored user states. It rises with each
+// change. Changes by earlier releases set it to 0.
+func userStatesVersion(state replication.StateMachine) uint64 {
+	return state.Blob(userStatesBlob).GetVersion()
+}
+
+// storedUserState returns how a user state is stored: up, which limits nothing, is not.
+func storedUserState(state string) string {
+	if state == string(lifecycle.Up) {
+		return ""
+	}
+	return state
+}
--- a/cmd/corkcove/state.go
+++ b/cmd/corkcove/state.go
@@ -40,11 +40,19 @@
 // setState tries the seeds in order. If one of them reports the master's address,
 // that address is tried next. It returns the last reason for a failure if the
 // state could not be set.
+//
+// The request names the version of the user states that the command has read, so that it
+// is refused if it arrives after a later command's. Without a master's answer, or from a
+// master of the previous release, no version is known and none is named.
 func (c *coreClient) setState(node, state string) error {
+	request := &meshpb.SetStateRequest{Node: node, State: state}
+	if status, err := c.masterStatus(); err == nil {
+		request.Expected = status.UserStates
+	}
 	reason := "no core node answers"
 	addresses := slices.Clone(c.seeds)
 	for i := 0; i < len(addresses) && i < maxMasterHops; i++ {
-		r, err := rpc.Call(toolCallTimeout, c.clients.Control(addresses[i]).SetState, &meshpb.SetStateRequest{Node: node, State: state})
+		r, err := rpc.Call(toolCallTimeout, c.clients.Control(addresses[i]).SetState, request)
 		if err != nil {
 			continue
 		}
