soak: ask the kernel for a connection's process instead of reading all sockets

The relays found the sender of each connection by reading /proc/net/tcp, 0.11 s each time, and connections piled up (11,598). The fault is the tool's.

Change: one socket is looked up by its addresses through socket diagnosis.

--- a/internal/soak/cluster.go
+++ b/internal/soak/cluster.go
@@ -97,11 +97,15 @@
 	return append([]*member(nil), c.members...)
 }
 
-// nameOfSender returns the name of the member that connected from a local port, or "".
-func (c *cluster) nameOfSender(port int) string {
-	inode := socketInode(port)
+// nameOfSender returns the name of the member at the other end of an incoming connection,
+// or "" if none has it open any more.
+func (c *cluster) nameOfSender(incoming *net.TCPConn) string {
+	inode, err := socketInode(incoming.RemoteAddr().(*net.TCPAddr), incoming.LocalAddr().(*net.TCPAddr))
+	if err != nil {
+		return ""
+	}
 	for _, m := range c.current() {
-		if pid := m.pid(); inode != "" && pid != 0 && hasSocket(pid, inode) {
+		if pid := m.pid(); pid != 0 && hasSocket(pid, inode) {
 			return m.name
 		}
 	}
--- a/internal/soak/relay.go
+++ b/internal/soak/relay.go
@@ -15,13 +15,13 @@
 type relay struct {
 	target *member
 	links  *links
-	// sender returns the name of the member that connected from a local port.
-	sender    func(port int) string
+	// sender returns the name of the member that made a connection.
+	sender    func(*net.TCPConn) string
 	listeners []net.Listener
 }
 
 // startRelay listens at the member's address. The relay ends with ctx.
-func startRelay(ctx context.Context, target *member, l *links, sender func(port int) string) error {
+func startRelay(ctx context.Context, target *member, l *links, sender func(*net.TCPConn) string) error {
 	r := &relay{target: target, links: l, sender: sender}
 	for _, port := range []int{internalPort, controlPort} {
 		listener, err := net.Listen("tcp", net.JoinHostPort(target.ip, strconv.Itoa(port)))
@@ -57,7 +57,11 @@
 // connect relays one connection until both directions have ended.
 func (r *relay) connect(ctx context.Context, incoming *net.TCPConn, target string) {
 	defer func() { _ = incoming.Close() }()
-	there := link{r.sender(incoming.RemoteAddr().(*net.TCPAddr).Port), r.target.name}
+	sender := r.sender(incoming)
+	if sender == "" {
+		return
+	}
+	there := link{sender, r.target.name}
 	back := link{there.to, there.from}
 	if r.links.wait(ctx, there) != nil {
 		return
--- a/internal/soak/relay_test.go
+++ b/internal/soak/relay_test.go
@@ -39,7 +39,7 @@
 	target := &member{name: "b", ip: "127.9.1.1", bindIP: "127.9.1.101"}
 	startEcho(t, target)
 	l := newLinks()
-	qt.Assert(t, startRelay(t.Context(), target, l, func(int) string { return "a" }), qt.IsNil)
+	qt.Assert(t, startRelay(t.Context(), target, l, func(*net.TCPConn) string { return "a" }), qt.IsNil)
 	connection, err := net.Dial("tcp", "127.9.1.1:7700")
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = connection.Close() }()
@@ -71,8 +71,11 @@
 	connection, err := net.Dial("tcp", listener.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	defer func() { _ = connection.Close() }()
-	inode := socketInode(connection.LocalAddr().(*net.TCPAddr).Port)
-	qt.Assert(t, inode, qt.Not(qt.Equals), "")
+	local, remote := connection.LocalAddr().(*net.TCPAddr), connection.RemoteAddr().(*net.TCPAddr)
+	inode, err := socketInode(local, remote)
+	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, hasSocket(os.Getpid(), inode), qt.IsTrue)
-	qt.Assert(t, hasSocket(1, "1"), qt.IsFalse)
+	qt.Assert(t, hasSocket(os.Getpid(), inode+1<<30), qt.IsFalse)
+	_, err = socketInode(&net.TCPAddr{IP: local.IP, Port: 1}, remote)
+	qt.Assert(t, err, qt.ErrorIs, errNoSocket)
 }
