Wording: durations, positions and join requests in replication; the soak's comments

Definitions by clause ("X is how long"), persons' verbs on processes and one contraction, in options, log, shard and learner of replication, and in the new package.

--- a/internal/replication/learner.go
+++ b/internal/replication/learner.go
@@ -7,23 +7,23 @@
 	"corkcove/internal/rpc/meshpb"
 )
 
-// joinState is the state of a learner that asks to join the membership.
+// joinState is the state of a learner that requests admission to the membership.
 type joinState struct {
 	// nextRequest is the time at which the next join requests are due.
 	nextRequest time.Duration
-	// extraSeeds are members to ask in addition to the membership and the seeds.
+	// extraSeeds are members that get join requests besides the membership and the seeds.
 	extraSeeds []*meshpb.Member
 	// leaveConfirmed means that this process is leaving, was removed from the
 	// membership, and that a majority of the remaining members holds all shards.
 	leaveConfirmed bool
 }
 
-// SetExtraSeeds sets members that a learner asks to join in addition to its seeds and
-// the membership that it knows, all of which may be gone by now.
+// SetExtraSeeds sets members that get a learner's join requests in addition to its seeds
+// and the last membership that it has received, none of which may be running any more.
 func (r *Replica) SetExtraSeeds(seeds []*meshpb.Member) { r.join.extraSeeds = seeds }
 
-// sendJoinRequests announces a learner to all members that it knows, once per
-// joinInterval, and tells them whether it has caught up.
+// sendJoinRequests sends a join request to all members with a known address, once per
+// joinInterval. The request includes whether the learner has caught up.
 func (r *Replica) sendJoinRequests() {
 	now := r.now()
 	if now < r.join.nextRequest || r.disk.failed || r.join.leaveConfirmed {
--- a/internal/replication/log.go
+++ b/internal/replication/log.go
@@ -13,18 +13,18 @@
 	maxLogEntries = 1024
 	// maxLogBytes is the maximum sum of their encoded sizes, in bytes.
 	maxLogBytes = 1 << 20
-	// maxEpochEnds is how many ends of earlier epochs are kept.
+	// maxEpochEnds is the maximum number of recorded ends of earlier epochs.
 	maxEpochEnds = 16
 )
 
 // replicaLog is the position of a replica and the most recent entries that led to it.
 type replicaLog struct {
-	// position is that of the content in memory, which may be ahead of the disk.
+	// position is the position of the content in memory, which may be ahead of the disk.
 	position
 	// synced is the version up to which the content is on disk under the current epoch,
-	// 0 if that isn't known.
+	// or 0 if that version is unknown.
 	synced uint64
-	// entries are the most recent ones, ending with the one at version. entryBytes is
+	// entries are the most recent entries; the last of them is at version. entryBytes is
 	// the sum of their encoded sizes.
 	entries    []*meshpb.Entry
 	entryBytes int
--- a/internal/replication/options.go
+++ b/internal/replication/options.go
@@ -29,25 +29,25 @@
 	// across all restarts.
 	Shards int
 
-	// LeaseDuration is how long a member that answered an owner grants no other
-	// candidate its vote (900 ms). A shard whose owner fails has no owner for at least
+	// LeaseDuration is the time after its answer to an owner for which a member votes
+	// for no other candidate (900 ms). A shard whose owner fails has no owner for at least
 	// this long. If it is too short for heartbeats to return in time, shards change
 	// owners needlessly. It must be the same for all members: one with a shorter lease
 	// would vote for a second owner while the first still serves reads.
 	LeaseDuration time.Duration
 
-	// HeartbeatInterval is how often an owner renews its leases (250 ms). It must be
-	// well below half of LeaseDuration, so that the loss of one heartbeat does not
+	// HeartbeatInterval is the interval at which an owner renews its leases (250 ms).
+	// It must be well below half of LeaseDuration, so that the loss of one heartbeat does not
 	// cost the lease.
 	HeartbeatInterval time.Duration
 
-	// RequestTimeout is how long Execute waits for a commit or a lease before it
-	// fails (900 ms). If it exceeds the caller's own timeout, the errors arrive too
+	// RequestTimeout is the time after which Execute fails if it has no commit or no
+	// lease (900 ms). If it exceeds the caller's own timeout, the errors arrive too
 	// late.
 	RequestTimeout time.Duration
 
-	// EvictionTimeout is how long a member must have been unreachable before a learner
-	// may replace it (2 s). If it is shorter than a restart takes, members can be
+	// EvictionTimeout is the time for which a member must have been unreachable before
+	// a learner may replace it (2 s). If it is shorter than a restart takes, members can be
 	// evicted during any restart.
 	EvictionTimeout time.Duration
 
--- a/internal/replication/shard.go
+++ b/internal/replication/shard.go
@@ -55,8 +55,8 @@
 	candidate string
 }
 
-// lease is the lease that this member has granted to the owner of a shard, and
-// what it has heard of other owners.
+// lease is the lease that this member has granted to the owner of a shard, and the
+// last claim of another member to own it.
 type lease struct {
 	// grantedUntil is the end of the lease, or of the grace period after a vote. Until
 	// then only the candidate that got the last vote can get another.
@@ -65,7 +65,7 @@
 	// owner that arrive afterwards renew no lease.
 	endedEpoch uint64
 	// ownerHint is the id of a member that claims to own the shard and did not get this
-	// member's vote. The claim is believed until ownerHintUntil.
+	// member's vote. The claim expires at ownerHintUntil.
 	ownerHint      string
 	ownerHintUntil time.Duration
 }
@@ -73,9 +73,9 @@
 // election is this member's candidacy for a shard, and the last pre-vote that it
 // gave.
 type election struct {
-	// preVote is set while a candidate only asks whether it would get the votes.
+	// preVote is set while the candidate is in a pre-vote, and not yet in an election.
 	preVote bool
-	// epoch is the highest epoch that this member has requested votes for or heard of.
+	// epoch is the highest epoch that this member has requested votes for or received.
 	epoch uint64
 	// votes are the ids of the members that have granted their vote.
 	votes map[string]bool
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -15,7 +15,7 @@
 	maxHold = 2 * time.Second
 	// maxSleep limits how long a holder sleeps, so that it makes more calls in a run.
 	maxSleep = 4 * time.Second
-	// maxAttempts is how often a caller sends a call before it gives up.
+	// maxAttempts is the maximum number of transmissions of a call.
 	maxAttempts = 4
 	// maxPause is the longest pause of a caller between two calls.
 	maxPause = 200 * time.Millisecond
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// silenceLimit is the time without an answer after which a caller gives up an attempt.
+	// silenceLimit is the timeout of an attempt.
 	silenceLimit = time.Second
 	// maxRedirects is the number of redirects that a caller follows.
 	maxRedirects = 2
@@ -109,7 +109,7 @@
 	if err != nil {
 		return a
 	}
-	// The transport must not send a request again by itself.
+	// Without GetBody the transport sends each request at most once.
 	request.GetBody = nil
 	response, err := c.http.Do(request)
 	if err != nil {
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// terminate asks a member to stop and kills it if it does not in time.
+// terminate sends SIGTERM to a member, and kills it after terminationLimit.
 func terminate(m *member) {
 	m.signal(syscall.SIGTERM)
 	killer := time.AfterFunc(terminationLimit, func() { m.signal(syscall.SIGKILL) })
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -41,7 +41,7 @@
 	// Value is the number in a successful response to Number, and the revision in one to
 	// Put and Get. It is 0 for a key without a value.
 	Value uint64 `json:"value,omitempty"`
-	// Payload is what Put writes or Get has read.
+	// Payload is the value that Put writes or that Get has read.
 	Payload string `json:"payload,omitempty"`
 }
 
--- a/internal/soak/member.go
+++ b/internal/soak/member.go
@@ -53,7 +53,7 @@
 
 func (m *member) dataDirectory() string { return filepath.Join(m.directory, m.name) }
 
-// controlAddress is where callers send their requests.
+// controlAddress returns the address that serves the requests of callers.
 func (m *member) controlAddress() string {
 	return net.JoinHostPort(m.bindIP, strconv.Itoa(controlPort))
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,7 +16,7 @@
 	// recoveryLimit is the time after the last fault by which the core must serve again:
 	// the agreed recoverS.
 	recoveryLimit = 15 * time.Second
-	// minRecovery is the time after the last fault for which a run goes on at least.
+	// minRecovery is the minimum time between the last fault and the end of a run.
 	minRecovery = 3 * time.Second
 )
 
@@ -43,7 +43,7 @@
 	Locks, Numbers, Keys, Callers int
 }
 
-// Event is what a fault did.
+// Event records that a fault began.
 type Event struct {
 	Fault Fault `json:"fault"`
 	// Member is the member that the fault hit, or the first of several.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -69,7 +69,8 @@
 	longFault = time.Second
 )
 
-// meanGaps are the mean times between the beginnings of faults; each run draws one.
+// meanGaps are the mean times from the start of a fault to that of the next; each run
+// draws one.
 var meanGaps = []time.Duration{700 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second}
 
 // Fault is a fault of a schedule. Times are durations since the start of the run.
@@ -86,7 +87,7 @@
 	return fmt.Sprintf("%.3f s: %s for %.3f s", f.At.Seconds(), f.Kind, f.For.Seconds())
 }
 
-// drawSchedule returns the faults of a run, in the order of their beginnings. Disks of at
+// drawSchedule returns the faults of a run, in the order in which they start. Disks of at
 // most maxDiskLosses members are lost; every other fault may overlap with any number of
 // others. The last fault ends before end.
 func drawSchedule(random *rand.Rand, kinds []FaultKind, end time.Duration, maxDiskLosses int) []Fault {
