--- a/internal/replication/tick.go
+++ b/internal/replication/tick.go
@@ -35,9 +35,13 @@
 // time.
 func (r *Replica) recordTick() {
 	now := r.now()
-	if r.tickState.lastTick > 0 && now-r.tickState.lastTick > r.options.HeartbeatInterval {
+	pause := now - r.tickState.lastTick
+	if r.tickState.lastTick > 0 && pause > r.options.HeartbeatInterval {
 		r.tickState.lastLateTick = now
 	}
+	if r.tickState.lastTick > 0 && pause > r.options.LeaseDuration {
+		r.options.Log.Info("resumed after a pause", "duration", pause)
+	}
 	r.tickState.lastTick = now
 }
 
