soak: a test's suspended member has stopped before the test goes on

The rule was kept; the test's set-up was not.

Cause: SIGSTOP was sent, but on a busy machine some threads of the member ran on for a while and carried the release out in time. The test waits now until every thread is stopped; its checks are as they were.

--- a/internal/soak/member.go
+++ b/internal/soak/member.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 )
 
 // Ports of every member.
@@ -115,6 +116,37 @@
 	}
 }
 
+// suspend stops the process with SIGSTOP and waits until none of its threads runs any
+// more. On a busy machine some threads may run for a while after the signal was sent.
+func (m *member) suspend() {
+	m.signal(syscall.SIGSTOP)
+	for pid := m.pid(); pid != 0 && !allThreadsStopped(pid); {
+		time.Sleep(suspendPollInterval)
+	}
+}
+
+// suspendPollInterval is the interval at which suspend looks at the threads.
+const suspendPollInterval = time.Millisecond
+
+// allThreadsStopped reports whether every thread of the process is stopped, or the process
+// has ended.
+func allThreadsStopped(pid int) bool {
+	// The pattern is valid.
+	files, _ := filepath.Glob(filepath.Join("/proc", strconv.Itoa(pid), "task", "*", "stat"))
+	for _, file := range files {
+		stat, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		// The state follows the name, which is in parentheses and may contain any character.
+		_, afterName, _ := strings.Cut(string(stat[strings.LastIndexByte(string(stat), ')'):]), " ")
+		if !strings.HasPrefix(afterName, "T") {
+			return false
+		}
+	}
+	return true
+}
+
 // kill ends the process with SIGKILL and waits until it has ended.
 func (m *member) kill() {
 	m.signal(syscall.SIGKILL)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -58,7 +58,7 @@
 		for deadline := time.Now().Add(recoveryLimit); !granted.Succeeded() && time.Now().Before(deadline); {
 			granted = first.send(ctx, other, acquire)
 		}
-		suspended.signal(syscall.SIGSTOP)
+		suspended.suspend()
 		released := first.send(ctx, suspended, Attempt{Operation: Release, Name: lock, Token: granted.Token})
 		qt.Assert(t, released.Status, qt.Equals, 0)
 		var again Attempt
